--- /dev/null
+++ b/cherrydoor/__init__.py
@@ -0,0 +1,1 @@
+"""cherrydoor: a router for functions that hosts load on demand."""
--- /dev/null
+++ b/cherrydoor/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's wire: text in, text out. No decision is taken here."""
--- /dev/null
+++ b/cherrydoor/adapter/wire.py
@@ -0,0 +1,124 @@
+"""Turns wire lines into the interface's types and back, microseconds to milliseconds."""
+
+import json
+from math import floor
+
+from cherrydoor import interface as io
+
+FATES = {
+    "served": io.HANDLED, "server_error": io.ERROR, "turned_away": io.FULL, "no_answer": io.NO_ANSWER,
+    "no_connection": io.NO_CONNECTION, "connection_lost": io.LOST, "called_off": io.RECALLED,
+    "not_sent": io.UNSENT, "not_stored": io.MISSING,
+}
+KINDS = {"repeatable": io.REDELIVERABLE, "by_key": io.KEYED, "once": io.AT_MOST_ONCE}
+STATES = {"Ready": io.READY, "Terminating": io.DRAINING, "Gone": io.GONE}
+LISTS = {"INCREMENTAL": io.CHANGES, "FULL": io.WHOLE, "SAVED": io.SAVED, "FAILED": io.FAILED}
+
+
+class BadLine(Exception):
+    """A line that this page of the wire does not allow."""
+
+
+def ms(text):
+    """Microseconds on the wire to milliseconds.
+
+    >>> ms("8412250"), ms("-")
+    (8412.25, 0.0)
+    """
+    return 0.0 if text == "-" else int(text) / 1000
+
+
+def us(value):
+    """Milliseconds back to microseconds, never later than they are.
+
+    >>> us(1.001), us(8412.2509)
+    (1001, 8412250)
+    """
+    return floor(value * 1000 + 0.01)
+
+
+def word(table, text):
+    if text not in table:
+        raise BadLine(f"unknown word {text!r}")
+    return table[text]
+
+
+def flag(text):
+    if text not in ("0", "1"):
+        raise BadLine(f"neither 0 nor 1: {text!r}")
+    return text == "1"
+
+
+def number(text):
+    return 0.0 if text == "-" else float(text)
+
+
+def lease(seed, text):
+    """The settings of one instance, with what is absent taken as not allowed or not stated."""
+    said = json.loads(text)
+    may, rules = said.get("permissions", {}), said.get("rules", {})
+    copies = said.get("familyInfo", {})
+    clauses = tuple(
+        io.Clause(c["name"], c["aim"] / 1000, c["deadline"] / 1000, word(KINDS, c["repeat"]),
+                  c.get("dedupScope", "cell"), c.get("dedupWindow", 0) / 1000, bool(c.get("stream", False)))
+        for c in said["requestClasses"])
+    parties = tuple(io.Party(p["name"], p["quotaPerS"])
+                    for p in said.get("tenants") or () if "quotaPerS" in p)
+    return io.Lease(
+        said["me"], said["instances"], seed, said.get("zone", ""), said.get("resolution", 1000) / 1000,
+        clauses, parties, said.get("discovery", "push") == "ask", may.get("maxAttempts", 1),
+        bool(may.get("mayDuplicate")), bool(may.get("cancel")), bool(may.get("mayProbe")),
+        may.get("maxRetryAfter", 0) / 1000 if may.get("retryAfter") else 0.0,
+        rules.get("coldFrom", 1.0), rules.get("cold", 0) / 1000, rules.get("overloadFactor", 0.0),
+        rules.get("fall", 0) / 1000, copies.get("lingerIdle", 0) / 1000, bool(copies.get("loadControl")),
+        copies.get("ifCold") == "miss", copies.get("loadsAnyway", 0.0), copies.get("loadPart", 0.0),
+        copies.get("loadsWithin", 0) / 1000)
+
+
+def row(line):
+    """One entry of a list of hosts."""
+    part = line.split(" ")
+    if part[0] != "m" or len(part) < 8:
+        raise BadLine("a list entry needs 'm' and seven values")
+    number(part[3])
+    return io.Row(part[5], word(STATES, part[6]), ms(part[2]), part[1], int(number(part[7])))
+
+
+def knock(v):
+    return io.Arrival(int(v[0]), v[1], v[2], v[3], ms(v[4]), number(v[7]), number(v[8]))
+
+
+def done(v):
+    info = 0 if v[6] == "-" else int(v[6])
+    return io.Outcome(int(v[0]), int(v[2]), word(FATES, v[3]), flag(v[4]), v[5], ms(v[1]),
+                      info % 8, info // 8)
+
+
+# What comes in for an instance: how many values its line has at least, and how they are read.
+READERS = {
+    "knock": (10, knock),
+    "under_way": (4, lambda v: io.Underway(int(v[0]), int(v[1]), v[2])),
+    "done": (8, done),
+    "cancelled_by_client": (1, lambda v: io.ClientLeft(int(v[0]))),
+    "bell": (1, lambda v: io.Wake(v[0])),
+    "probe_done": (4, lambda v: io.Probed(v[0], word(FATES, v[1]), ms(v[2]))),
+    "resident": (5, lambda v: io.Loaded(v[2], v[3], word(FATES, v[0]), int(v[4]), ms(v[1]))),
+}
+
+# What goes out: the line after the instance's name.
+WRITERS = {
+    io.Launch: ("pass_on", lambda a: f"{a.event} {a.host} {us(a.limit) if a.limit else '-'}"),
+    io.Recall: ("revoke", lambda a: f"{a.event} {a.launch}"),
+    io.Defer: ("shed", lambda a: f"{a.event} {us(a.stay_away) or '-'}"),
+    io.DeadLetter: ("fail", lambda a: f"{a.event}"),
+    io.Ring: ("defer", lambda a: f"{us(a.at)} {a.token}"),
+    io.Probe: ("test", lambda a: a.host),
+    io.Order: ("start_copy", lambda a: f"{a.function} {a.host} {a.copies}"),
+    io.Subscribe: ("watch", lambda a: "1"),
+    io.Log: ("say_log", lambda a: a.text),
+}
+
+
+def line(who, action):
+    name, text = WRITERS[type(action)]
+    return f"{name} {who} {text(action)}\n"
--- /dev/null
+++ b/cherrydoor/logic.py
@@ -0,0 +1,611 @@
+"""The decisions of one gateway: hashed homes, second workers, overflow, and what guards them.
+
+Called as gate = Gateway(lease), actions = gate.start(now), then actions = gate.take(now, note) for each note,
+with now the batch clock in ms. The types are those of cherrydoor/interface.py; nothing else is read.
+Every part is an actor: its own state changes by notes from its inbox, others may look. One loop, Gateway.run,
+empties the inboxes. Objects point to each other; ids are looked up only at the door.
+"""
+
+from collections import deque
+from hashlib import sha1
+from zlib import crc32
+
+from cherrydoor import interface as io
+
+NEVER_RAN = (io.FULL, io.NO_CONNECTION, io.UNSENT, io.MISSING)
+T1, T2 = 3, 5           # own events out: a home sheds from T2 until below T1
+FEW = 8                 # how many functions are the most-called
+CALLED = 6              # and the least count that makes one of them
+WINDOW = 2000           # counts halve each window
+SWEEP = 100             # how often hosts look at their own silence
+FURTHER = 2             # further launches for one event
+RECUT = 15000           # a vacancy or a newcomer left over for so long has the ranges cut anew
+LINGER = 6000           # an idle copy is believed to stand for so long, where nothing is said
+
+
+class Actor:
+    """A part with an inbox."""
+
+    def __init__(self, loop):
+        self.loop, self.inbox = loop, deque()
+
+    def post(self, note, *what):
+        self.inbox.append((note, what))
+        self.loop.append(self)
+
+
+class Try:
+    """One launch of an event: fate is None while it is out; stood tells if a copy was known to stand."""
+
+    def __init__(self, evt, host, now):
+        self.evt, self.host, self.sent, self.fate = evt, host, now, None
+        self.stood = host.holds(evt.func, now)
+
+
+class Event:
+    """An event taken; Gateway.events drops it once it is over and no launch is out."""
+
+    def __init__(self, arrival, clause, func, beyond):
+        self.id, self.clause, self.func, self.until = arrival.event, clause, func, arrival.until
+        self.beyond, self.tries, self.over, self.streams = beyond, [], False, False
+
+    def out(self):
+        return [t for t in self.tries if t.fate is None]
+
+    def may_have_run(self):
+        return [t for t in self.tries if t.fate not in NEVER_RAN]
+
+
+class Function:
+    """A line of the History Table: the function's places, how much it is called, where copies stand."""
+
+    def __init__(self, name, me):
+        self.name, self.count, self.open = name, 0.0, 0
+        self.home, self.second = (int.from_bytes(sha1(key.encode()).digest()[:8], "big") / 2.0**64
+                                  for key in (name, f"{name}/{me}"))
+        self.copies = {}        # host -> when a copy was last known to stand; History.window drops the old
+        self.opening = {}       # host -> until when a load begun by this gateway is waited for
+        self.waiting = []       # events that wait for an order (hosts that miss)
+
+
+class History(Actor):
+    """The History Table: own traffic alone. Each window halves it and drops what is no longer called."""
+
+    def __init__(self, gate):
+        super().__init__(gate.loop)
+        self.gate, self.functions, self.bar, self.calls = gate, {}, CALLED, 0.0
+
+    def called(self, func):
+        func.count += 1
+        self.calls += 1
+
+    def hot(self, func):
+        return func.count >= self.bar
+
+    def window(self, now):
+        self.calls /= 2
+        for func in list(self.functions.values()):
+            func.count /= 2
+            func.copies = {h: t for h, t in func.copies.items() if h.stands_since(t, now)}
+            func.opening = {h: t for h, t in func.opening.items() if t > now}
+            if func.count < 0.5 and not func.open:
+                del self.functions[func.name]
+        most = sorted((f.count for f in self.functions.values()), reverse=True)[:FEW]
+        self.bar = max(CALLED, most[-1] if len(most) == FEW else 0)
+
+    def opens(self, func, host, until):
+        func.opening.setdefault(host, until)
+
+    def tells(self, func, host, fate, copy, stood):
+        """A load where a copy was known to stand means that the function was released anew or its copies
+        were swept out: no other copy is believed in until it answers again."""
+        now = self.gate.now
+        func.opening.pop(host, None)
+        if fate == io.HANDLED:
+            if copy == 2 and stood:
+                func.copies = {}
+            func.copies[host] = now
+        elif fate in (io.MISSING, io.NO_CONNECTION, io.LOST):
+            func.copies.pop(host, None)
+
+
+class Host(Actor):
+    """One worker as this gateway sees it: its own launches' fates first, the list second."""
+
+    def __init__(self, gate, row):
+        super().__init__(gate.loop)
+        self.gate, self.id, self.zone, self.cell = gate, row.host, row.zone, row.cell
+        self.state, self.since = None, 0.0
+        self.out = {}           # launches out, oldest first; each leaves with its outcome
+        self.reset(row.since)
+
+    def reset(self, since):
+        """A process that starts anew has an empty memory and a clean slate."""
+        self.since, self.heard, self.strikes, self.shut, self.probing = since, 0.0, 0, 0.0, False
+        self.sheds = self.silent = self.slow = False
+        self.pace, self.crowd, self.full_at = None, 1.0, -1e18
+        self.sent_cold = deque()    # launch times while cold; they leave after the rule's window
+
+    def listed(self, state, since):
+        if since != self.since and state == io.READY:
+            self.reset(since)
+        self.state = state
+
+    # ---- the one notion of ready: what fails it hands the range on to the next in order
+    def level(self, now):
+        """The share of its full capacity that a host has at least."""
+        deed = self.gate.deed
+        if not self.since or now - self.since >= deed.cold:
+            return 1.0
+        return min(1.0, deed.cold_from + (1 - deed.cold_from) * max(0.0, now - self.since) / deed.cold)
+
+    def room(self, now):
+        """Rule 4, by this gateway alone: a host's capacity is at least what a host handles now, so a cold
+        one gets at most its level's part of the multiple of that, less a margin for chance, of this gateway's
+        own traffic. All gateways doing so keep it. With little traffic so far it harms: one a window."""
+        level = self.level(now)
+        if level >= 1.0 or not self.gate.deed.fall:
+            return True
+        while self.sent_cold and self.sent_cold[0] <= now - self.gate.deed.fall:
+            self.sent_cold.popleft()
+        return len(self.sent_cold) < max(1.0, 0.6 * self.gate.deed.multiple * level * self.gate.borne())
+
+    def ready(self, now, part=0.0):
+        """Ready for this part (0 to 1) of its range. A cold host takes its range back bit by bit as it
+        warms, the same bits at every gateway: no flood of work nor of loads. It ends once it is warm."""
+        if self.state != io.READY or part > self.level(now) or not self.room(now):
+            return False
+        bad = self.silent or self.slow or self.shut > now or self.probing or self.strikes > 1 and self.out
+        return self.gate.blind or not bad
+
+    def stands_since(self, seen, now):
+        return seen > self.since and now - seen < self.gate.deed.linger
+
+    def holds(self, func, now):
+        seen = func.copies.get(self)
+        return seen is not None and self.stands_since(seen, now)
+
+    def wait(self):
+        """The time that an event sent now is predicted to take, by its own answers and its own events out."""
+        return (self.pace or self.gate.pace) * (len(self.out) + 1) / self.crowd
+
+    # ---- notes
+    def sent(self, launch, now):
+        self.out[launch] = now
+        self.crowd += 0.1 * (max(1, len(self.out)) - self.crowd)
+        if self.level(now) < 1.0:
+            self.sent_cold.append(now)
+        self.mark(now)
+
+    def mark(self, now):
+        """T1 and T2. A full answer counts as T2."""
+        if len(self.out) >= T2:
+            self.sheds = True
+        elif len(self.out) < T1 and now - self.full_at > SWEEP:
+            self.sheds = False
+
+    def back(self, launch, note, now):
+        self.out.pop(launch, None)
+        if note.fate in (io.HANDLED, io.FULL, io.ERROR, io.MISSING):
+            self.heard, self.silent = now, False
+        if note.fate == io.HANDLED:
+            self.strikes = 0
+            if note.copy in (0, 1):
+                old = self.pace or note.took
+                self.pace = old + 0.1 * (note.took - old)
+        elif note.fate == io.FULL:
+            self.full_at, self.sheds = now, True
+        elif note.fate == io.ERROR and note.copy != 4:
+            self.strike(1, now)
+        elif note.fate == io.LOST:
+            self.strike(1, now)
+        elif note.fate == io.NO_CONNECTION or note.fate == io.NO_ANSWER and self.heard < launch.sent:
+            self.strike(2, now)
+        self.mark(now)
+
+    def strike(self, weight, now):
+        """Bad fates in a row shut a host for a time that doubles: dead, cut off, failing, connections spent.
+        One good answer ends it. It harms when one host alone holds the copies and fails by chance."""
+        self.strikes += weight
+        if self.strikes > 1:
+            self.shut = now + 250 * 2 ** min(self.strikes, 4) * (1 + self.gate.chance())
+
+    def sweep(self, now):
+        """Silence: launches out to standing copies and nothing heard shows a host that stalls or is cut off
+        while listed as running. It is asked by a probe; without an answer its events are taken back."""
+        patience = max(250.0, 4 * self.wait())
+        for launch, sent in self.out.items():
+            since = max(sent, self.heard)
+            loading = 0 if launch.stood else 3 * self.gate.load
+            self.silent = self.silent or not launch.evt.streams and now - since > patience + loading
+        self.mark(now)
+        ask = self.silent or self.strikes > 1 and self.shut <= now
+        if ask and self.state == io.READY and not self.probing:
+            if self.gate.deed.probes:
+                self.probing = True
+                self.gate.post("probe", self)
+            elif self.silent:
+                self.lose(now)
+        if self.pace:
+            self.pace += 0.02 * (self.gate.pace - self.pace)
+
+    def probed(self, note, now):
+        self.probing = False
+        if note.fate == io.HANDLED:
+            self.heard, self.silent, self.strikes, self.shut = now, False, 0, 0.0
+        elif note.fate != io.FULL:
+            self.lose(now)
+
+    def lose(self, now):
+        self.strike(2, now)
+        self.silent = False
+        for launch in self.out:
+            self.gate.post("take_back", launch)
+
+
+class Zone(Actor):
+    """The Zone Table: equal ranges over the sorted ids of all listed hosts.
+
+    Exception: when hosts come and go the ranges are not cut anew, which would move most functions. A newcomer
+    takes the range of one that drains or is gone. Only what is left over for long has them cut anew."""
+
+    def __init__(self, gate):
+        super().__init__(gate.loop)
+        self.gate, self.slots, self.odd_since = gate, [], None
+
+    def relist(self, now):
+        listed = sorted((h for h in self.gate.hosts.values() if h.state != io.GONE), key=lambda h: h.id)
+        if not self.slots:
+            self.slots = listed
+            return
+        new = [h for h in listed if h not in self.slots and h.state == io.READY]
+        for i, host in enumerate(self.slots):
+            if new and host.state != io.READY:
+                self.slots[i] = new.pop(0)
+        odd = new or any(h.state == io.GONE for h in self.slots)
+        self.odd_since = (self.odd_since or now) if odd else None
+
+    def recut(self, now):
+        if self.odd_since is not None and now - self.odd_since > RECUT:
+            self.odd_since, self.slots = None, []
+            self.relist(now)
+
+    def heir(self, pos, fits):
+        """The owner of this place in the id space, or the next ready one in order."""
+        n, now = len(self.slots), self.gate.now
+        first = int(pos * n)
+        part = pos * n - first
+        order = self.slots[first:] + self.slots[:first]
+        for bar in (part, 0.0):
+            for host in order:
+                if host.ready(now, bar) and fits(host):
+                    return host
+        return next((h for h in order if h.shut <= now and fits(h)), next(filter(fits, order), None))
+
+    def choose(self, evt):
+        """The design's path, then its exceptions: the host, and one to order a copy at, if any."""
+        func, now, gate = evt.func, self.gate.now, self.gate
+        been = [t.host for t in evt.tries if t.fate != io.MISSING]
+
+        def fits(host):
+            return host not in been and gate.may(evt, host)
+
+        home = self.heir(func.home, fits)
+        if home is None:
+            return None, None
+        second = self.heir(func.second, lambda h: h is not home and fits(h)) or home
+        pick, hot = home, gate.history.hot(func)
+        if home.sheds:
+            pick = second
+        elif hot and len(second.out) < len(home.out):
+            pick = second
+        stand = [h for h in func.copies if h.holds(func, now) and not h.sheds and h.ready(now) and fits(h)]
+        spare = min(stand, key=lambda h: (len(h.out), h.id), default=None)
+        if pick.sheds and spare:    # both are at T2: to the least busy host below it where a copy stands
+            pick = spare
+        if spare and not pick.holds(func, now) and (gate.deed.orders or pick in func.opening):
+            return spare, pick      # nobody waits behind a load while a copy stands: one opens the new copy
+        return pick, None
+
+
+class Deed:
+    """The few figures that decisions use, drawn from the lease."""
+
+    def __init__(self, lease):
+        self.me, self.asks, self.twice = lease.me, lease.asks, lease.twice
+        self.launches = min(lease.launches, 1 + FURTHER)
+        self.probes, self.recalls, self.advice = lease.probes, lease.recalls, lease.advice
+        self.cold_from, self.cold, self.multiple, self.fall = (
+            lease.cold_from, lease.cold, lease.fall_multiple, lease.fall)
+        self.linger, self.orders, self.misses = lease.linger or LINGER, lease.orders, lease.misses
+        self.ration = (lease.loads_free, lease.loads_share, lease.loads_within)
+        self.clauses = {c.name: c for c in lease.clauses}
+        self.parts = {p.name: p.per_second / lease.gateways / 1000 for p in lease.parties}
+        self.sweep = max(SWEEP, lease.step)
+
+
+class Gateway(Actor):
+    """The door, the gate that every send passes, and the loop."""
+
+    def __init__(self, lease):
+        super().__init__(deque())
+        self.deed, self.seed, self.drawn, self.now = Deed(lease), lease.seed, 0, 0.0
+        self.pace = min(c.target for c in self.deed.clauses.values()) / 4
+        self.load, self.strain, self.blind, self.actions = 1000.0, 0.0, False, []
+        self.events, self.hosts = {}, {}        # dropped when over; dropped when gone and nothing is out
+        self.history, self.zone = History(self), Zone(self)
+        self.handled, self.spent = deque(), {}  # handled times in the cold rule's window; events by customer
+        self.ordered, self.taken = deque(), deque()     # rule 5's window
+        self.next_window = 0.0
+
+    def start(self, now):
+        self.now, self.next_window, self.actions = now, now + WINDOW, []
+        self.ring(self.deed.sweep * (1 + self.chance()), "sweep")
+        if self.deed.asks:
+            self.actions.append(io.Subscribe())
+        return self.actions
+
+    def take(self, now, note):
+        self.now, self.actions = now, []
+        getattr(self, type(note).__name__.lower())(note)
+        self.run()
+        return self.actions
+
+    def run(self):
+        while self.loop:
+            actor = self.loop.popleft()
+            note, what = actor.inbox.popleft()
+            getattr(actor, note)(*what)
+
+    def chance(self):
+        self.drawn += 1
+        return crc32(f"{self.seed}/{self.drawn}".encode()) / 2.0**32
+
+    def ring(self, later, token):
+        self.actions.append(io.Ring(self.now + later, token))
+
+    # ---- the door: ids become objects
+    def listing(self, note):
+        if note.how == io.FAILED:
+            self.ring(500 * (1 + self.chance()), "ask")
+            return
+        named = {row.host for row in note.rows}
+        for row in note.rows:
+            host = self.hosts.get(row.host)
+            if host is None:
+                host = self.hosts[row.host] = Host(self, row)
+            host.post("listed", row.state, row.since)
+        if note.how != io.CHANGES:
+            for host in self.hosts.values():
+                if host.id not in named:
+                    host.post("listed", io.GONE, host.since)
+        self.zone.post("relist", self.now)
+
+    def arrival(self, note):
+        func = self.history.functions.get(note.function)
+        if func is None:
+            func = self.history.functions[note.function] = Function(note.function, self.deed.me)
+        evt = Event(note, self.deed.clauses[note.clause], func, self.beyond(note.party))
+        self.events[evt.id] = evt
+        func.open += 1
+        self.count_taken()
+        self.history.post("called", func)
+        self.post("route", evt)
+
+    def underway(self, note):
+        if note.event in self.events:
+            self.events[note.event].streams = True
+
+    def outcome(self, note):
+        evt = self.events.get(note.event)
+        if evt is None:
+            return
+        launch = evt.tries[note.launch]
+        launch.fate = note.fate
+        launch.host.post("back", launch, note, self.now)
+        self.history.post("tells", evt.func, launch.host, note.fate, note.copy, launch.stood)
+        self.post("landed", evt, launch, note)
+
+    def clientleft(self, note):
+        evt = self.events.get(note.event)
+        if evt is not None:
+            evt.over = True
+            self.post("close", evt)
+
+    def wake(self, note):
+        if note.token == "ask":
+            self.actions.append(io.Subscribe())
+        elif note.token == "sweep":
+            self.ring(self.deed.sweep, "sweep")
+            self.post("sweep")
+
+    def probed(self, note):
+        if note.host in self.hosts:
+            self.hosts[note.host].post("probed", note, self.now)
+
+    def loaded(self, note):
+        func, host = self.history.functions.get(note.function), self.hosts.get(note.host)
+        if func is None or host is None:
+            return
+        stood = note.fate == io.HANDLED and note.copies > 0
+        self.history.post("tells", func, host, io.HANDLED if stood else io.MISSING, 0, False)
+        waiting, func.waiting = func.waiting, []
+        for evt in waiting:
+            self.post("route" if stood else "give_up", evt)
+
+    # ---- an event's way
+    def route(self, evt):
+        """Takes an event only if it is predicted in time."""
+        if evt.over:
+            return
+        host, open_at = self.zone.choose(evt)
+        if open_at is not None:
+            self.order(evt.func, open_at)
+        if host is None or not evt.tries and not self.in_time(evt, host):
+            self.strain += host is not None
+            self.give_up(evt)
+        else:
+            self.launch(evt, host)
+
+    def in_time(self, evt, host):
+        """Overload of any cause shows in the wait that a host's own answers predict. What is beyond its
+        customer's share yields at half of it."""
+        wait = host.wait() * (2 if evt.beyond and self.overloaded() else 1)
+        return wait <= min(evt.clause.target, evt.until - self.now) or not host.out
+
+    def overloaded(self):
+        return self.strain > 2 + 0.1 * self.history.calls
+
+    def may(self, evt, host):
+        """The gate: what the rules say of a launch of this event to this host now."""
+        if evt.over or evt.streams or self.now >= evt.until or len(evt.tries) >= self.deed.launches:
+            return False                                                        # rule 1
+        if host.state != io.READY or not host.room(self.now):
+            return False                                                        # rules 3 and 4
+        if not self.deed.twice and evt.out():
+            return False
+        ran = evt.may_have_run()
+        if not ran or evt.clause.kind == io.REDELIVERABLE:
+            return True                                                         # rule 2 from here
+        if evt.clause.kind == io.AT_MOST_ONCE:
+            return False
+        first, group = ran[0], evt.clause.group
+        same = group == "all" or host.zone == first.host.zone and group == "zone" or \
+            host.cell == first.host.cell and group == "cell"
+        return same and self.now - first.sent < 0.8 * evt.clause.memory
+
+    def launch(self, evt, host):
+        if not self.may(evt, host):
+            return self.give_up(evt)
+        launch = Try(evt, host, self.now)
+        evt.tries.append(launch)
+        self.actions.append(io.Launch(evt.id, host.id, 0.0))
+        host.post("sent", launch, self.now)
+        if not launch.stood:
+            self.history.post("opens", evt.func, host, self.now + 3 * self.load)
+
+    def landed(self, evt, launch, note):
+        if note.fate == io.HANDLED:
+            self.handled.append(self.now)
+            self.pace += 0.02 * (note.took - self.pace) if note.copy in (0, 1) else 0
+            self.load += 0.1 * (note.took - self.load) if note.copy == 2 else 0
+        elif note.fate == io.FULL:
+            self.strain += 1
+        if note.over:
+            evt.over = True
+        if evt.over or evt.streams:
+            return self.close(evt)
+        if evt.out():
+            return
+        if note.fate == io.MISSING and self.deed.misses and self.order(evt.func, launch.host):
+            evt.func.waiting.append(evt)
+        elif self.overloaded():
+            self.give_up(evt)
+        else:
+            self.post("route", evt)
+
+    def take_back(self, launch):
+        """A launch to a silent host is recalled so that another may follow; never one that could harm."""
+        evt = launch.evt
+        plain = launch.fate is None and evt.clause.kind == io.REDELIVERABLE and not evt.streams
+        if self.deed.recalls and plain and (
+                evt.over or len(evt.tries) < self.deed.launches and not self.overloaded()):
+            self.actions.append(io.Recall(evt.id, evt.tries.index(launch)))
+
+    def give_up(self, evt):
+        """The one place of final answers: at once, and a deferral only where a repeat is harmless."""
+        if evt.over:
+            return
+        ran, clause = evt.may_have_run(), evt.clause
+        young = not ran or self.now - ran[0].sent < 0.5 * clause.memory
+        harmless = not ran or clause.kind == io.REDELIVERABLE or (
+            clause.kind == io.KEYED and clause.group == "all" and young)
+        evt.over = True
+        if harmless:
+            advice = min(self.deed.advice, max(self.pace, 100.0)) * (1 + self.chance()) / 2
+            self.actions.append(io.Defer(evt.id, advice))
+        else:
+            self.actions.append(io.DeadLetter(evt.id))
+        self.close(evt)
+
+    def close(self, evt):
+        """What is still out for an event that is over is recalled; then the event is forgotten."""
+        if not evt.over:
+            return
+        for launch in evt.out():
+            self.post("take_back", launch)
+        if not evt.out() and self.events.pop(evt.id, None):
+            evt.func.open -= 1
+
+    def order(self, func, host, copies=1):
+        """The gate of orders to load: drains, the ration, and one order at a time for a copy."""
+        free, share, within = self.deed.ration
+        if not self.deed.orders or host.state != io.READY:
+            return False
+        if func.opening.get(host, 0) > self.now:
+            return True
+        if within:
+            while self.ordered and self.ordered[0] <= self.now - within:
+                self.ordered.popleft()
+            taken = sum(n for start, n in self.taken if start >= self.now - within)
+            if len(self.ordered) + 1 > free + share * taken:
+                return False
+            self.ordered.append(self.now)
+        self.actions.append(io.Order(func.name, host.id, copies))
+        self.history.post("opens", func, host, self.now + 3 * self.load)
+        return True
+
+    def count_taken(self):
+        """Events taken, in slices of the ration's window, which leave with it."""
+        within = self.deed.ration[2]
+        if within:
+            if not self.taken or self.now - self.taken[-1][0] > within / 10:
+                self.taken.append([self.now, 0])
+            self.taken[-1][1] += 1
+            while self.taken[0][0] < self.now - within:
+                self.taken.popleft()
+
+    # ---- what goes on
+    def probe(self, host):
+        self.actions.append(io.Probe(host.id))
+
+    def borne(self):
+        """Events that one warm host handles for this gateway in the cold rule's window."""
+        while self.handled and self.handled[0] <= self.now - self.deed.fall:
+            self.handled.popleft()
+        warm = sum(h.state == io.READY for h in self.zone.slots)
+        return len(self.handled) / max(1, warm)
+
+    def beyond(self, party):
+        """True for what a customer sends beyond an equal part of its share; each second empties the count."""
+        if party not in self.deed.parts:
+            return False
+        start, n = self.spent.get(party, (self.now, 0))
+        if self.now - start >= 1000:
+            start, n = self.now, 0
+        self.spent[party] = (start, n + 1)
+        return n + 1 > 1000 * self.deed.parts[party]
+
+    def sweep(self):
+        now = self.now
+        self.borne()
+        running = [h for h in self.hosts.values() if h.state == io.READY]
+        paces = sorted(h.pace for h in running if h.pace)
+        usual = paces[len(paces) // 2] if paces else self.pace
+        for host in running:
+            host.slow = bool(host.pace) and host.pace / host.crowd > 4 * usual and host.pace > self.pace
+            host.post("sweep", now)
+        # When most hosts look bad it is likelier this gateway's own sight: then none is held to be.
+        self.blind = sum(h.silent or h.slow or h.shut > now or h.probing for h in running) * 2 > len(running)
+        for host in [h for h in self.hosts.values() if h.state == io.GONE and not h.out]:
+            if host not in self.zone.slots:
+                del self.hosts[host.id]
+        for func in self.history.functions.values():
+            late = [e for e in func.waiting if e.over or e.until - now < 2 * self.pace]
+            for evt in late:
+                func.waiting.remove(evt)
+                self.post("give_up", evt)
+        self.zone.post("recut", now)
+        if now >= self.next_window:
+            self.next_window, self.strain = now + WINDOW, self.strain / 2
+            self.history.post("window", now)
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,130 @@
+"""The five rules at the gate. Each story fails if its line at the gate is taken out."""
+
+from fake import CLAUSE, Fleet, kinds
+
+from cherrydoor import interface as io
+
+
+def test_rule_1_one_final_answer_at_once_and_nothing_after_it():
+    fleet = Fleet("a")
+    event, _ = fleet.event()
+    assert kinds(fleet.answer(event, io.FULL)) == [io.Defer]
+    assert event not in fleet.gate.events and not fleet.gate.history.functions["deed"].open
+    late, _ = fleet.event(max_age=50.0)
+    assert kinds(fleet.answer(late, io.NO_ANSWER, later=50.0)) == [io.Defer]
+    gone, _ = fleet.event()
+    fleet.take(io.ClientLeft(gone))
+    assert kinds(fleet.answer(gone, io.LOST)) == [] and not fleet.gate.events
+
+
+def test_rule_1_no_host_at_all_is_answered_at_once():
+    fleet = Fleet("a")
+    fleet.list(a={"state": io.GONE})
+    assert kinds(fleet.event()[1]) == [io.Defer]
+
+
+def test_rule_2_at_most_once_is_launched_again_only_if_it_never_ran():
+    fleet = Fleet(clauses=(CLAUSE._replace(kind=io.AT_MOST_ONCE),))
+    event, _ = fleet.event()
+    fleet.answer(event, io.FULL)
+    assert len(fleet.sent[event]) == 2
+    assert kinds(fleet.answer(event, io.ERROR)) == [io.DeadLetter]
+
+
+def test_rule_2_keyed_stays_in_its_group_and_time():
+    for group in ("zone", "cell", "all"):
+        fleet = Fleet(clauses=(CLAUSE._replace(kind=io.KEYED, group=group, memory=1000.0),))
+        for function in ("deed", "f1", "f2", "f3"):
+            event, _ = fleet.event(function)
+            fleet.answer(event, io.ERROR)
+            first, then = (fleet.rows[h] for h in fleet.sent[event])
+            assert group != "zone" or first.zone == then.zone
+        late, _ = fleet.event("late")
+        assert kinds(fleet.answer(late, io.ERROR, later=1001.0)) == [io.DeadLetter]
+
+
+def test_rule_2_second_launch_waits_for_the_first_where_two_are_not_allowed():
+    fleet = Fleet()
+    event, _ = fleet.event()
+    evt = fleet.gate.events[event]
+    assert not any(fleet.gate.may(evt, h) for h in fleet.gate.hosts.values())
+
+
+def test_rule_3_nothing_goes_to_a_host_that_drains():
+    fleet = Fleet("ab", orders=True)
+    fleet.list(a={"state": io.DRAINING})
+    assert {fleet.handle(f"f{i}") for i in range(20)} == {"b"}
+    func, host = fleet.gate.history.functions["f1"], fleet.gate.hosts["a"]
+    assert not fleet.gate.order(func, host) and not fleet.gate.may(Open(func), host)
+
+
+class Open:
+    """An event that the gate has no other objection to."""
+    over = streams = False
+    until, tries, kind = 1e18, (), None
+
+    def __init__(self, func):
+        self.func, self.clause = func, CLAUSE
+
+    def out(self):
+        return []
+
+    def may_have_run(self):
+        return []
+
+
+def test_rule_4_a_cold_host_gets_no_more_than_its_budget_even_if_it_is_alone():
+    fleet = Fleet("ab")
+    for i in range(60):
+        fleet.handle(f"f{i}", later=5.0)
+    fleet.list(a={"since": fleet.now}, b={"state": io.GONE})
+    sent = sum(bool(fleet.sent.get(fleet.event(f"g{i}", later=5.0)[0])) for i in range(60))
+    assert 1 <= sent <= 0.6 * 3 * 0.3 * 60
+
+
+def test_rule_5_orders_are_rationed():
+    fleet = Fleet(orders=True, loads_free=1.0, loads_share=0.1, loads_within=5000.0)
+    for i in range(10):
+        fleet.handle(f"f{i}", later=1.0)
+    funcs, host = list(fleet.gate.history.functions.values()), fleet.gate.hosts["a"]
+    assert [fleet.gate.order(f, host) for f in funcs[:4]] == [True, True, False, False]
+    fleet.now += 6000
+    fleet.gate.now = fleet.now
+    assert fleet.gate.order(funcs[5], host) and not fleet.gate.order(funcs[6], host)
+
+
+def test_host_that_misses_is_given_an_order_and_the_event_follows_it():
+    fleet = Fleet(orders=True, misses=True)
+    event, _ = fleet.event()
+    found = fleet.answer(event, io.MISSING)
+    assert kinds(found) == [io.Order]
+    fleet.take(io.Loaded("deed", found[0].host, io.HANDLED, 1, 500.0))
+    assert fleet.sent[event] == [found[0].host] * 2
+
+
+def test_overload_defers_what_would_be_late_and_launches_nothing_further():
+    fleet = Fleet("a")
+    events = []
+    for _ in range(20):
+        event, found = fleet.event(later=5.0)
+        events.append(event)
+    for event in events:
+        if event in fleet.sent:
+            fleet.answer(event, took=900.0, later=40.0)
+    answers = [a for _ in range(20) for a in fleet.event(later=1.0)[1]]
+    deferred = [a for a in answers if isinstance(a, io.Defer)]
+    assert deferred and all(0 < a.stay_away <= 1000.0 for a in deferred)
+
+
+def test_stream_that_has_begun_has_no_second_launch():
+    fleet = Fleet(clauses=(CLAUSE._replace(stream=True),))
+    event, _ = fleet.event()
+    fleet.take(io.Underway(event, 0, fleet.sent[event][0]))
+    assert kinds(fleet.rest(20000)).count(io.Recall) == 0
+    assert kinds(fleet.answer(event, io.LOST, over=True)) == [] and not fleet.gate.events
+
+
+def test_list_that_must_be_asked_for_is_asked_again_after_a_failure():
+    fleet = Fleet(asks=True)
+    assert io.Ring in [type(a) for a in fleet.take(io.Listing(io.FAILED, ()))]
+    assert kinds(fleet.take(io.Wake("ask"))) == [io.Subscribe]
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,143 @@
+"""The design's ordinary path, and what happens to a range when hosts come, go or turn bad."""
+
+from fake import Fleet, kinds
+
+from cherrydoor import interface as io
+from cherrydoor.logic import T1, T2
+
+
+def test_every_gateway_sends_a_function_to_the_same_home():
+    for function in ("deed", "lease", "clause"):
+        assert len({Fleet(me=me).handle(function) for me in range(5)}) == 1
+
+
+def test_second_worker_only_for_the_most_called_and_ties_to_the_home():
+    fleet = Fleet()
+    home = fleet.handle("deed")
+    second = next(h for h in (fleet.sent[fleet.event("deed")[0]][0] for _ in range(12)) if h != home)
+    assert second in fleet.rows and len({fleet.sent[e][0] for e in fleet.sent}) == 2
+    calm = Fleet()
+    first = calm.handle("deed")
+    for _ in range(3):
+        assert calm.sent[calm.event("deed")[0]][0] == first
+    calm.rest(20000)
+    assert "deed" not in calm.gate.history.functions or calm.gate.history.functions["deed"].count < 1
+
+
+def test_home_at_t2_sheds_until_below_t1():
+    fleet = Fleet()
+    home = fleet.handle("deed")
+    host = fleet.gate.hosts[home]
+    out = []
+    while len(host.out) < T2:
+        event, _ = fleet.event("deed")
+        out.append(event)
+    assert host.sheds
+    out = [e for e in out if fleet.sent[e][0] == home]
+    while len(host.out) >= T1:
+        assert host.sheds
+        fleet.answer(out.pop())
+    assert not host.sheds
+
+
+def test_full_answer_sends_the_event_to_the_second_worker():
+    fleet = Fleet()
+    event, _ = fleet.event("deed")
+    fleet.answer(event, io.FULL)
+    assert len(set(fleet.sent[event])) == 2 and fleet.gate.hosts[fleet.sent[event][0]].sheds
+
+
+def test_drained_range_goes_to_the_next_in_order_and_a_newcomer_takes_it_over():
+    fleet = Fleet()
+    home = fleet.handle("deed")
+    others = {f: fleet.handle(f) for f in ("f1", "f2", "f3", "f4", "f5", "f6")}
+    fleet.list(**{home: {"state": io.DRAINING}})
+    order = sorted(fleet.rows)
+    assert fleet.handle("deed") == order[(order.index(home) + 1) % len(order)]
+    fleet.list(io.CHANGES, **{home: {"state": io.GONE}, "zz": {"since": 1.0}})
+    assert fleet.handle("deed") == "zz"
+    for f, host in others.items():
+        assert fleet.handle(f) == ("zz" if host == home else host)      # no other range moved
+
+
+def test_cold_host_takes_its_range_back_bit_by_bit():
+    fleet = Fleet(fall=0.0)
+    names = [f"f{i}" for i in range(200)]
+    mine = [f for f in names if fleet.handle(f) == "b"]
+    fleet.list(b={"since": fleet.now})
+    shares = []
+    for _ in range(4):
+        shares.append(sum(fleet.handle(f, later=0.0) == "b" for f in mine) / len(mine))
+        fleet.now += 3500
+    assert shares[0] < 0.5 and shares == sorted(shares) and shares[-1] == 1.0
+
+
+def test_nobody_waits_behind_a_load_while_a_copy_stands_elsewhere():
+    fleet = Fleet(cold=1.0)
+    home = fleet.handle("deed")
+    fleet.list(**{home: {"state": io.DRAINING}})
+    stand_in = fleet.handle("deed")
+    fleet.list(**{home: {"state": io.READY, "since": fleet.now}})
+    fleet.now += 2000
+    scout, _ = fleet.event("deed")
+    assert fleet.sent[scout] == [home]
+    assert fleet.handle("deed") == stand_in         # home loads for the scout
+    fleet.answer(scout, copy=2)
+    assert fleet.handle("deed") == home
+
+
+def test_a_function_released_anew_is_believed_nowhere_until_it_answers():
+    fleet = Fleet()
+    home = fleet.handle("deed")
+    func = fleet.gate.history.functions["deed"]
+    func.copies[fleet.gate.hosts["a"]] = func.copies[fleet.gate.hosts["b"]] = fleet.now
+    fleet.handle("deed", copy=2)
+    assert [h.id for h in func.copies] == [home]
+
+
+def test_order_opens_the_second_copy_before_events_go_there():
+    fleet = Fleet(orders=True)
+    home = fleet.handle("deed")
+    found = []
+    fleet.event("deed")                     # one stays out, so that the home is the busier of the two
+    for _ in range(8):
+        event, actions = fleet.event("deed", later=1.0)
+        found += actions
+        fleet.answer(event)
+    order = next(a for a in found if isinstance(a, io.Order))
+    assert {h for hosts in fleet.sent.values() for h in hosts} == {home} and kinds(found).count(io.Order) == 1
+    fleet.take(io.Loaded("deed", order.host, io.HANDLED, 1, 600.0))
+    assert fleet.sent[fleet.event("deed")[0]] == [order.host]
+
+
+def test_silent_host_is_probed_its_events_taken_back_and_its_range_handed_on():
+    fleet = Fleet()
+    home = fleet.handle("deed")
+    stuck, _ = fleet.event("deed")
+    found = fleet.rest(1500)
+    assert io.Probe(home) in found
+    assert io.Recall(stuck, 0) in fleet.take(io.Probed(home, io.NO_ANSWER, 250.0))
+    fleet.answer(stuck, io.RECALLED)
+    assert fleet.sent[stuck][1] != home and fleet.handle("deed") != home
+    fleet.rest(3000)
+    fleet.take(io.Probed(home, io.HANDLED, 1.0))
+    assert not fleet.gate.hosts[home].silent and fleet.gate.hosts[home].ready(fleet.now)
+
+
+def test_dead_host_is_left_and_comes_back_by_a_probe():
+    fleet = Fleet()
+    home = fleet.handle("deed")
+    event, _ = fleet.event("deed")
+    fleet.answer(event, io.NO_CONNECTION)
+    assert fleet.sent[event][1] != home and fleet.handle("deed") != home
+    assert io.Probe(home) in fleet.rest(3000)
+    fleet.take(io.Probed(home, io.HANDLED, 1.0))
+    assert fleet.handle("deed") == home
+
+
+def test_when_most_hosts_look_bad_none_is_held_to_be():
+    fleet = Fleet("abc")
+    for host in ("a", "b"):
+        fleet.gate.hosts[host].strikes, fleet.gate.hosts[host].shut = 2, fleet.now + 60000
+    fleet.rest(100)
+    assert {fleet.handle(f"f{i}") for i in range(30)} == {"a", "b", "c"}
