A full answer where no copy stood passes the range on in order instead of shedding the host

Cause: with memory short, a full answer made the whole home shed to each gateway's own second worker, which loaded yet another copy there and pushed others out.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -65,6 +65,7 @@
                                   for key in (name, f"{name}/{me}"))
         self.copies = {}        # host -> when a copy was last known to stand; History.window drops the old
         self.opening = {}       # host -> until when a load begun by this gateway is waited for
+        self.refused = {}       # host -> until when it is held to have no room for a copy
         self.waiting = []       # events that wait for an order (hosts that miss)
 
 
@@ -88,6 +89,7 @@
             func.count /= 2
             func.copies = {h: t for h, t in func.copies.items() if h.stands_since(t, now)}
             func.opening = {h: t for h, t in func.opening.items() if t > now}
+            func.refused = {h: t for h, t in func.refused.items() if t > now}
             if func.count < 0.5 and not func.open:
                 del self.functions[func.name]
         most = sorted((f.count for f in self.functions.values()), reverse=True)[:FEW]
@@ -105,6 +107,8 @@
             if copy == 2 and stood:
                 func.copies = {}
             func.copies[host] = now
+        elif fate == io.FULL and not stood:
+            func.refused[host] = now + self.gate.load
         elif fate in (io.MISSING, io.NO_CONNECTION, io.LOST):
             func.copies.pop(host, None)
 
@@ -193,7 +197,7 @@
             if note.copy in (0, 1):
                 old = self.pace or note.took
                 self.pace = old + 0.1 * (note.took - old)
-        elif note.fate == io.FULL:
+        elif note.fate == io.FULL and launch.stood:
             self.full_at, self.sheds = now, True
         elif note.fate == io.ERROR and note.copy != 4:
             self.strike(1, now)
@@ -288,7 +292,7 @@
         been = [t.host for t in evt.tries if t.fate != io.MISSING]
 
         def fits(host):
-            return host not in been and gate.may(evt, host)
+            return host not in been and func.refused.get(host, 0) <= now and gate.may(evt, host)
 
         home = self.heir(func.home, fits)
         if home is None:
