--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -13,7 +13,7 @@
 from cherrydoor import interface as io
 
 NEVER_RAN = (io.FULL, io.NO_CONNECTION, io.UNSENT, io.MISSING)
-T1, T2 = 3, 5           # own events out: a home sheds from T2 until below T1
+PATIENCE = 0.5          # T2 is the own events out that would take this share of the target time one by one
 FEW = 8                 # how many functions are the most-called
 CALLED = 6              # and the least count that makes one of them
 WINDOW = 2000           # counts halve each window
@@ -183,9 +183,10 @@
 
     def mark(self, now):
         """T1 and T2. A full answer counts as T2."""
-        if len(self.out) >= T2:
+        t2 = max(3.0, PATIENCE * self.gate.deed.target / self.gate.brisk)
+        if len(self.out) >= t2:
             self.sheds = True
-        elif len(self.out) < T1 and now - self.full_at > SWEEP:
+        elif len(self.out) < 0.6 * t2 and now - self.full_at > SWEEP:
             self.sheds = False
 
     def back(self, launch, note, now):
@@ -323,6 +324,7 @@
             lease.cold_from, lease.cold, lease.fall_multiple, lease.fall)
         self.linger, self.orders, self.misses = lease.linger or LINGER, lease.orders, lease.misses
         self.ration = (lease.loads_free, lease.loads_share, lease.loads_within)
+        self.target = min(c.target for c in lease.clauses)
         self.clauses = {c.name: c for c in lease.clauses}
         self.parts = {p.name: p.per_second / lease.gateways / 1000 for p in lease.parties}
         self.sweep = max(SWEEP, lease.step)
@@ -334,7 +336,7 @@
     def __init__(self, lease):
         super().__init__(deque())
         self.deed, self.seed, self.drawn, self.now = Deed(lease), lease.seed, 0, 0.0
-        self.pace = min(c.target for c in self.deed.clauses.values()) / 4
+        self.pace, self.brisk = self.deed.target / 4, self.deed.target / 10   # mean, and three in ten quicker
         self.load, self.strain, self.blind, self.actions = 1000.0, 0.0, False, []
         self.events, self.hosts = {}, {}        # dropped when over; dropped when gone and nothing is out
         self.history, self.zone = History(self), Zone(self)
@@ -491,7 +493,9 @@
     def landed(self, evt, launch, note):
         if note.fate == io.HANDLED:
             self.handled.append(self.now)
-            self.pace += 0.02 * (note.took - self.pace) if note.copy in (0, 1) else 0
+            if note.copy in (0, 1):
+                self.pace += 0.02 * (note.took - self.pace)
+                self.brisk *= 1.006 if note.took > self.brisk else 0.986
             self.load += 0.1 * (note.took - self.load) if note.copy == 2 else 0
         elif note.fate == io.FULL:
             self.strain += 1
