--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -310,6 +310,9 @@
             pick = spare
         if spare and not pick.holds(func, now) and (gate.deed.orders or pick in func.opening):
             return spare, pick      # nobody waits behind a load while a copy stands: one opens the new copy
+        if pick.wait() > evt.clause.target:     # predicted late: to the copy with the least wait, if any is better
+            others = [h for h in func.copies if h.holds(func, now) and h.ready(now) and fits(h)]
+            pick = min([pick, *others], key=lambda h: (h.wait(), h.id))
         return pick, None
 
 
