--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -171,7 +171,9 @@
 
     def wait(self):
         """The time that an event sent now is predicted to take, by its own answers and its own events out."""
-        return (self.pace or self.gate.pace) * (len(self.out) + 1) / self.crowd
+        oldest = next((t.sent for t in self.out if t.stood), self.gate.now)
+        pace = max(self.pace or self.gate.pace, self.gate.now - oldest)
+        return pace * (len(self.out) + 1) / self.crowd
 
     # ---- notes
     def sent(self, launch, now):
