--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -1,9 +1,8 @@
 """The decisions of one gateway: hashed homes, second workers, overflow, and what guards them.
 
 Called as gate = Gateway(lease), actions = gate.start(now), then actions = gate.take(now, note) for each note,
-with now the batch clock in ms. The types are those of cherrydoor/interface.py; nothing else is read.
-Every part is an actor: its own state changes by notes from its inbox, others may look. One loop, Gateway.run,
-empties the inboxes. Objects point to each other; ids are looked up only at the door.
+now being the batch clock in ms. All types are in cherrydoor/interface.py. Every part is an actor: its state
+changes by notes from its inbox, others may look. One loop empties the inboxes; ids are used only at the door.
 """
 
 from collections import deque
@@ -80,14 +79,11 @@
         func.count += 1
         self.calls += 1
 
-    def hot(self, func):
-        return func.count >= self.bar
-
     def window(self, now):
         self.calls /= 2
         for func in list(self.functions.values()):
             func.count /= 2
-            func.copies = {h: t for h, t in func.copies.items() if h.stands_since(t, now)}
+            func.copies = {h: t for h, t in func.copies.items() if h.holds(func, now)}
             func.opening = {h: t for h, t in func.opening.items() if t > now}
             func.refused = {h: t for h, t in func.refused.items() if t > now}
             if func.count < 0.5 and not func.open:
@@ -119,8 +115,7 @@
     def __init__(self, gate, row):
         super().__init__(gate.loop)
         self.gate, self.id, self.zone, self.cell = gate, row.host, row.zone, row.cell
-        self.state, self.since = None, 0.0
-        self.out = {}           # launches out, oldest first; each leaves with its outcome
+        self.state, self.out = None, {}           # launches out, oldest first; each leaves with its outcome
         self.reset(row.since)
 
     def reset(self, since):
@@ -150,8 +145,7 @@
         level = self.level(now)
         if level >= 1.0 or not self.gate.deed.fall:
             return True
-        while self.sent_cold and self.sent_cold[0] <= now - self.gate.deed.fall:
-            self.sent_cold.popleft()
+        self.gate.forget(self.sent_cold, self.gate.deed.fall)
         return len(self.sent_cold) < max(1.0, 0.6 * self.gate.deed.multiple * level * self.gate.borne())
 
     def ready(self, now, part=0.0):
@@ -162,12 +156,9 @@
         bad = self.silent or self.slow or self.shut > now or self.probing or self.strikes > 1 and self.out
         return self.gate.blind or not bad
 
-    def stands_since(self, seen, now):
-        return seen > self.since and now - seen < self.gate.deed.linger
-
     def holds(self, func, now):
         seen = func.copies.get(self)
-        return seen is not None and self.stands_since(seen, now)
+        return seen is not None and seen > self.since and now - seen < self.gate.deed.linger
 
     def wait(self):
         """The time that an event sent now is predicted to take, by its own answers and its own events out."""
@@ -202,9 +193,7 @@
                 self.pace = old + 0.1 * (note.took - old)
         elif note.fate == io.FULL and launch.stood:
             self.full_at, self.sheds = now, True
-        elif note.fate == io.ERROR and note.copy != 4:
-            self.strike(1, now)
-        elif note.fate == io.LOST:
+        elif note.fate in (io.ERROR, io.LOST) and note.copy != 4:
             self.strike(1, now)
         elif note.fate == io.NO_CONNECTION or note.fate == io.NO_ANSWER and self.heard < launch.sent:
             self.strike(2, now)
@@ -220,7 +209,7 @@
     def sweep(self, now):
         """Silence: launches out to standing copies and nothing heard shows a host that stalls or is cut off
         while listed as running. It is asked by a probe; without an answer its events are taken back."""
-        patience = max(250.0, 4 * self.wait())
+        patience = max(250.0, 4 * (self.pace or self.gate.pace))
         for launch, sent in self.out.items():
             since = max(sent, self.heard)
             loading = 0 if launch.stood else 3 * self.gate.load
@@ -228,26 +217,23 @@
         self.mark(now)
         ask = self.silent or self.strikes > 1 and self.shut <= now
         if ask and self.state == io.READY and not self.probing:
-            if self.gate.deed.probes:
-                self.probing = True
-                self.gate.post("probe", self)
+            self.probing = self.gate.deed.probes
+            if self.probing:
+                self.gate.actions.append(io.Probe(self.id))
             elif self.silent:
-                self.lose(now)
+                self.probed(io.NO_ANSWER, now)
         if self.pace:
             self.pace += 0.02 * (self.gate.pace - self.pace)
 
-    def probed(self, note, now):
+    def probed(self, fate, now):
         self.probing = False
-        if note.fate == io.HANDLED:
+        if fate == io.HANDLED:
             self.heard, self.silent, self.strikes, self.shut = now, False, 0, 0.0
-        elif note.fate != io.FULL:
-            self.lose(now)
-
-    def lose(self, now):
-        self.strike(2, now)
-        self.silent = False
-        for launch in self.out:
-            self.gate.post("take_back", launch)
+        elif fate != io.FULL:
+            self.strike(2, now)
+            self.silent = False
+            for launch in self.out:
+                self.gate.post("take_back", launch)
 
 
 class Zone(Actor):
@@ -258,24 +244,18 @@
 
     def __init__(self, gate):
         super().__init__(gate.loop)
-        self.gate, self.slots, self.odd_since = gate, [], None
+        self.gate, self.slots, self.even = gate, [], 0.0
 
     def relist(self, now):
         listed = sorted((h for h in self.gate.hosts.values() if h.state != io.GONE), key=lambda h: h.id)
-        if not self.slots:
+        if not self.slots or now - self.even > RECUT:
             self.slots = listed
-            return
         new = [h for h in listed if h not in self.slots and h.state == io.READY]
         for i, host in enumerate(self.slots):
             if new and host.state != io.READY:
                 self.slots[i] = new.pop(0)
-        odd = new or any(h.state == io.GONE for h in self.slots)
-        self.odd_since = (self.odd_since or now) if odd else None
-
-    def recut(self, now):
-        if self.odd_since is not None and now - self.odd_since > RECUT:
-            self.odd_since, self.slots = None, []
-            self.relist(now)
+        if not new and all(h.state != io.GONE for h in self.slots):
+            self.even = now
 
     def heir(self, pos, fits):
         """The owner of this place in the id space, or the next ready one in order."""
@@ -301,18 +281,15 @@
         if home is None:
             return None, None
         second = self.heir(func.second, lambda h: h is not home and fits(h)) or home
-        pick, hot = home, gate.history.hot(func)
-        if home.sheds:
-            pick = second
-        elif hot and len(second.out) < len(home.out):
-            pick = second
+        hot = func.count >= gate.history.bar
+        pick = second if home.sheds or hot and len(second.out) < len(home.out) else home
         stand = [h for h in func.copies if h.holds(func, now) and not h.sheds and h.ready(now) and fits(h)]
         spare = min(stand, key=lambda h: (len(h.out), h.id), default=None)
         if pick.sheds and spare:    # both are at T2: to the least busy host below it where a copy stands
             pick = spare
         if spare and not pick.holds(func, now) and (gate.deed.orders or pick in func.opening):
             return spare, pick      # nobody waits behind a load while a copy stands: one opens the new copy
-        if pick.wait() > evt.clause.target:     # predicted late: to the copy with the least wait, if any is better
+        if pick.wait() > evt.clause.target:     # predicted late: to the copy with the least wait
             others = [h for h in func.copies if h.holds(func, now) and h.ready(now) and fits(h)]
             pick = min([pick, *others], key=lambda h: (h.wait(), h.id))
         return pick, None
@@ -322,8 +299,8 @@
     """The few figures that decisions use, drawn from the lease."""
 
     def __init__(self, lease):
-        self.me, self.asks, self.twice = lease.me, lease.asks, lease.twice
-        self.launches = min(lease.launches, 1 + FURTHER)
+        self.me, self.asks, self.twice, self.launches = (
+            lease.me, lease.asks, lease.twice, min(lease.launches, 1 + FURTHER))
         self.probes, self.recalls, self.advice = lease.probes, lease.recalls, lease.advice
         self.cold_from, self.cold, self.multiple, self.fall = (
             lease.cold_from, lease.cold, lease.fall_multiple, lease.fall)
@@ -345,8 +322,8 @@
         self.load, self.strain, self.blind, self.actions = 1000.0, 0.0, False, []
         self.events, self.hosts = {}, {}        # dropped when over; dropped when gone and nothing is out
         self.history, self.zone = History(self), Zone(self)
-        self.handled, self.spent = deque(), {}  # handled times in the cold rule's window; events by customer
-        self.ordered, self.taken = deque(), deque()     # rule 5's window
+        self.spent = {}                         # events by customer, halved each window
+        self.handled, self.ordered, self.taken = deque(), deque(), deque()  # times; windows of rules 4, 5
         self.next_window = 0.0
 
     def start(self, now):
@@ -359,14 +336,11 @@
     def take(self, now, note):
         self.now, self.actions = now, []
         getattr(self, type(note).__name__.lower())(note)
-        self.run()
-        return self.actions
-
-    def run(self):
         while self.loop:
             actor = self.loop.popleft()
             note, what = actor.inbox.popleft()
             getattr(actor, note)(*what)
+        return self.actions
 
     def chance(self):
         self.drawn += 1
@@ -382,24 +356,21 @@
             return
         named = {row.host for row in note.rows}
         for row in note.rows:
-            host = self.hosts.get(row.host)
-            if host is None:
-                host = self.hosts[row.host] = Host(self, row)
+            host = self.hosts[row.host] = self.hosts.get(row.host) or Host(self, row)
             host.post("listed", row.state, row.since)
-        if note.how != io.CHANGES:
-            for host in self.hosts.values():
-                if host.id not in named:
-                    host.post("listed", io.GONE, host.since)
+        for host in self.hosts.values():
+            if note.how != io.CHANGES and host.id not in named:
+                host.post("listed", io.GONE, host.since)
         self.zone.post("relist", self.now)
 
     def arrival(self, note):
-        func = self.history.functions.get(note.function)
-        if func is None:
-            func = self.history.functions[note.function] = Function(note.function, self.deed.me)
+        name = note.function
+        func = self.history.functions[name] = self.history.functions.get(name) or Function(name, self.deed.me)
         evt = Event(note, self.deed.clauses[note.clause], func, self.beyond(note.party))
         self.events[evt.id] = evt
         func.open += 1
-        self.count_taken()
+        if self.deed.ration[2]:
+            self.taken.append(self.now)
         self.history.post("called", func)
         self.post("route", evt)
 
@@ -409,13 +380,12 @@
 
     def outcome(self, note):
         evt = self.events.get(note.event)
-        if evt is None:
-            return
-        launch = evt.tries[note.launch]
-        launch.fate = note.fate
-        launch.host.post("back", launch, note, self.now)
-        self.history.post("tells", evt.func, launch.host, note.fate, note.copy, launch.stood)
-        self.post("landed", evt, launch, note)
+        if evt is not None:
+            launch = evt.tries[note.launch]
+            launch.fate = note.fate
+            launch.host.post("back", launch, note, self.now)
+            self.history.post("tells", evt.func, launch.host, note.fate, note.copy, launch.stood)
+            self.post("landed", evt, launch, note)
 
     def clientleft(self, note):
         evt = self.events.get(note.event)
@@ -432,14 +402,14 @@
 
     def probed(self, note):
         if note.host in self.hosts:
-            self.hosts[note.host].post("probed", note, self.now)
+            self.hosts[note.host].post("probed", note.fate, self.now)
 
     def loaded(self, note):
         func, host = self.history.functions.get(note.function), self.hosts.get(note.host)
         if func is None or host is None:
             return
         stood = note.fate == io.HANDLED and note.copies > 0
-        self.history.post("tells", func, host, io.HANDLED if stood else io.MISSING, 0, False)
+        self.history.post("tells", func, host, note.fate, 0, False)
         waiting, func.waiting = func.waiting, []
         for evt in waiting:
             self.post("route" if stood else "give_up", evt)
@@ -481,8 +451,7 @@
         if evt.clause.kind == io.AT_MOST_ONCE:
             return False
         first, group = ran[0], evt.clause.group
-        same = group == "all" or host.zone == first.host.zone and group == "zone" or \
-            host.cell == first.host.cell and group == "cell"
+        same = group == "all" or getattr(host, group) == getattr(first.host, group)
         return same and self.now - first.sent < 0.8 * evt.clause.memory
 
     def launch(self, evt, host):
@@ -504,13 +473,10 @@
             self.load += 0.1 * (note.took - self.load) if note.copy == 2 else 0
         elif note.fate == io.FULL:
             self.strain += 1
-        if note.over:
-            evt.over = True
-        if evt.over or evt.streams:
-            return self.close(evt)
-        if evt.out():
-            return
-        if note.fate == io.MISSING and self.deed.misses and self.order(evt.func, launch.host):
+        evt.over = evt.over or note.over
+        if evt.over or evt.streams or evt.out():
+            self.close(evt)
+        elif note.fate == io.MISSING and self.deed.misses and self.order(evt.func, launch.host):
             evt.func.waiting.append(evt)
         elif self.overloaded():
             self.give_up(evt)
@@ -558,50 +524,35 @@
         if func.opening.get(host, 0) > self.now:
             return True
         if within:
-            while self.ordered and self.ordered[0] <= self.now - within:
-                self.ordered.popleft()
-            taken = sum(n for start, n in self.taken if start >= self.now - within)
-            if len(self.ordered) + 1 > free + share * taken:
+            self.forget(self.ordered, within)
+            self.forget(self.taken, within)
+            if len(self.ordered) + 1 > free + share * len(self.taken):
                 return False
             self.ordered.append(self.now)
         self.actions.append(io.Order(func.name, host.id, copies))
         self.history.post("opens", func, host, self.now + 3 * self.load)
         return True
 
-    def count_taken(self):
-        """Events taken, in slices of the ration's window, which leave with it."""
-        within = self.deed.ration[2]
-        if within:
-            if not self.taken or self.now - self.taken[-1][0] > within / 10:
-                self.taken.append([self.now, 0])
-            self.taken[-1][1] += 1
-            while self.taken[0][0] < self.now - within:
-                self.taken.popleft()
-
     # ---- what goes on
-    def probe(self, host):
-        self.actions.append(io.Probe(host.id))
+    def forget(self, times, within):
+        while times and times[0] <= self.now - within:
+            times.popleft()
 
     def borne(self):
         """Events that one warm host handles for this gateway in the cold rule's window."""
-        while self.handled and self.handled[0] <= self.now - self.deed.fall:
-            self.handled.popleft()
+        self.forget(self.handled, self.deed.fall)
         warm = sum(h.state == io.READY for h in self.zone.slots)
         return len(self.handled) / max(1, warm)
 
     def beyond(self, party):
-        """True for what a customer sends beyond an equal part of its share; each second empties the count."""
-        if party not in self.deed.parts:
-            return False
-        start, n = self.spent.get(party, (self.now, 0))
-        if self.now - start >= 1000:
-            start, n = self.now, 0
-        self.spent[party] = (start, n + 1)
-        return n + 1 > 1000 * self.deed.parts[party]
+        """True for what a customer sends beyond an equal part of its share."""
+        self.spent[party] = self.spent.get(party, 0.0) + 1
+        return self.spent[party] > 2 * WINDOW * self.deed.parts.get(party, 1.0)
 
     def sweep(self):
         now = self.now
         self.borne()
+        self.forget(self.taken, self.deed.ration[2])
         running = [h for h in self.hosts.values() if h.state == io.READY]
         paces = sorted(h.pace for h in running if h.pace)
         usual = paces[len(paces) // 2] if paces else self.pace
@@ -610,15 +561,14 @@
             host.post("sweep", now)
         # When most hosts look bad it is likelier this gateway's own sight: then none is held to be.
         self.blind = sum(h.silent or h.slow or h.shut > now or h.probing for h in running) * 2 > len(running)
-        for host in [h for h in self.hosts.values() if h.state == io.GONE and not h.out]:
-            if host not in self.zone.slots:
-                del self.hosts[host.id]
+        self.hosts = {h.id: h for h in self.hosts.values()
+                      if h.state != io.GONE or h.out or h in self.zone.slots}
         for func in self.history.functions.values():
-            late = [e for e in func.waiting if e.over or e.until - now < 2 * self.pace]
-            for evt in late:
+            for evt in [e for e in func.waiting if e.over or e.until - now < 2 * self.pace]:
                 func.waiting.remove(evt)
                 self.post("give_up", evt)
-        self.zone.post("recut", now)
+        self.zone.post("relist", now)
         if now >= self.next_window:
             self.next_window, self.strain = now + WINDOW, self.strain / 2
+            self.spent = {party: n / 2 for party, n in self.spent.items() if n > 0.5}
             self.history.post("window", now)
