--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -104,7 +104,7 @@
                 func.copies = {}
             func.copies[host] = now
         elif fate == io.FULL and not stood:
-            func.refused[host] = now + self.gate.load
+            func.refused[host], self.gate.tight = now + self.gate.load, now
         elif fate in (io.MISSING, io.NO_CONNECTION, io.LOST):
             func.copies.pop(host, None)
 
@@ -292,6 +292,8 @@
         if pick.wait() > evt.clause.target:     # predicted late: to the copy with the least wait
             others = [h for h in func.copies if h.holds(func, now) and h.ready(now) and fits(h)]
             pick = min([pick, *others], key=lambda h: (h.wait(), h.id))
+            if pick.wait() > evt.clause.target and not func.opening and now - gate.tight > gate.deed.linger:
+                pick = self.heir(func.home, lambda h: h.wait() < evt.clause.target / 2 and fits(h)) or pick
         return pick, None
 
 
@@ -324,7 +326,7 @@
         self.history, self.zone = History(self), Zone(self)
         self.spent = {}                         # events by customer, halved each window
         self.handled, self.ordered, self.taken = deque(), deque(), deque()  # times; windows of rules 4, 5
-        self.next_window = 0.0
+        self.next_window, self.tight = 0.0, -1e18
 
     def start(self, now):
         self.now, self.next_window, self.actions = now, now + WINDOW, []
