--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -244,7 +244,7 @@
 
     def __init__(self, gate):
         super().__init__(gate.loop)
-        self.gate, self.slots, self.even = gate, [], 0.0
+        self.gate, self.slots, self.even, self.calm = gate, [], 0.0, 0.0
 
     def relist(self, now):
         listed = sorted((h for h in self.gate.hosts.values() if h.state != io.GONE), key=lambda h: h.id)
@@ -292,8 +292,9 @@
         if pick.wait() > evt.clause.target:     # predicted late: to the copy with the least wait
             others = [h for h in func.copies if h.holds(func, now) and h.ready(now) and fits(h)]
             pick = min([pick, *others], key=lambda h: (h.wait(), h.id))
-            if pick.wait() > evt.clause.target and not func.opening and now - gate.tight > gate.deed.linger:
+            if pick.wait() > evt.clause.target and now > self.calm and now - gate.tight > gate.deed.linger:
                 pick = self.heir(func.home, lambda h: h.wait() < evt.clause.target / 2 and fits(h)) or pick
+                self.calm = now + gate.load
         return pick, None
 
 
