--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -63,7 +63,7 @@
         self.home, self.second = (int.from_bytes(sha1(key.encode()).digest()[:8], "big") / 2.0**64
                                   for key in (name, f"{name}/{me}"))
         self.copies = {}        # host -> when a copy was last known to stand; History.window drops the old
-        self.opening = {}       # host -> until when a load begun by this gateway is waited for
+        self.opening = {}       # host -> since when a load begun by this gateway is waited for
         self.refused = {}       # host -> until when it is held to have no room for a copy
         self.waiting = []       # events that wait for an order (hosts that miss)
 
@@ -84,21 +84,22 @@
         for func in list(self.functions.values()):
             func.count /= 2
             func.copies = {h: t for h, t in func.copies.items() if h.holds(func, now)}
-            func.opening = {h: t for h, t in func.opening.items() if t > now}
+            func.opening = {h: t for h, t in func.opening.items() if now - t < 4 * self.gate.load}
             func.refused = {h: t for h, t in func.refused.items() if t > now}
             if func.count < 0.5 and not func.open:
                 del self.functions[func.name]
         most = sorted((f.count for f in self.functions.values()), reverse=True)[:FEW]
         self.bar = max(CALLED, most[-1] if len(most) == FEW else 0)
 
-    def opens(self, func, host, until):
-        func.opening.setdefault(host, until)
+    def opens(self, func, host, since):
+        func.opening.setdefault(host, since)
 
     def tells(self, func, host, fate, copy, stood):
         """A load where a copy was known to stand means that the function was released anew or its copies
         were swept out: no other copy is believed in until it answers again."""
         now = self.gate.now
-        func.opening.pop(host, None)
+        if fate not in (io.NO_ANSWER, io.RECALLED):     # then a load goes on without the event
+            func.opening.pop(host, None)
         if fate == io.HANDLED:
             if copy == 2 and stood:
                 func.copies = {}
@@ -434,7 +435,9 @@
     def in_time(self, evt, host):
         """Overload of any cause shows in the wait that a host's own answers predict. What is beyond its
         customer's share yields at half of it."""
-        wait = host.wait() * (2 if evt.beyond and self.overloaded() else 1)
+        wait, begun = host.wait() * (2 if evt.beyond and self.overloaded() else 1), evt.func.opening.get(host)
+        if begun is not None and not host.holds(evt.func, self.now):    # behind a load: not past the client's time
+            return wait + max(self.load + begun - self.now, (self.now - begun) / 2) < evt.until - self.now
         return wait <= min(evt.clause.target, evt.until - self.now) or not host.out
 
     def overloaded(self):
@@ -465,7 +468,7 @@
         self.actions.append(io.Launch(evt.id, host.id, 0.0))
         host.post("sent", launch, self.now)
         if not launch.stood:
-            self.history.post("opens", evt.func, host, self.now + 3 * self.load)
+            self.history.post("opens", evt.func, host, self.now)
 
     def landed(self, evt, launch, note):
         if note.fate == io.HANDLED:
@@ -476,6 +479,8 @@
             self.load += 0.1 * (note.took - self.load) if note.copy == 2 else 0
         elif note.fate == io.FULL:
             self.strain += 1
+        elif note.fate == io.NO_ANSWER and not launch.stood:
+            self.load += 0.1 * max(0.0, note.took - self.load)
         evt.over = evt.over or note.over
         if evt.over or evt.streams or evt.out():
             self.close(evt)
@@ -524,7 +529,7 @@
         free, share, within = self.deed.ration
         if not self.deed.orders or host.state != io.READY:
             return False
-        if func.opening.get(host, 0) > self.now:
+        if host in func.opening:
             return True
         if within:
             self.forget(self.ordered, within)
@@ -533,7 +538,7 @@
                 return False
             self.ordered.append(self.now)
         self.actions.append(io.Order(func.name, host.id, copies))
-        self.history.post("opens", func, host, self.now + 3 * self.load)
+        self.history.post("opens", func, host, self.now)
         return True
 
     # ---- what goes on
