--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -17,6 +17,7 @@
 CALLED = 6              # and the least count that makes one of them
 WINDOW = 2000           # counts halve each window
 SWEEP = 100             # how often hosts look at their own silence
+WAITERS = 4             # own events that wait behind one load though it ends past the target time
 FURTHER = 2             # further launches for one event
 RECUT = 15000           # a vacancy or a newcomer left over for so long has the ranges cut anew
 LINGER = 6000           # an idle copy is believed to stand for so long, where nothing is said
@@ -436,8 +437,11 @@
         """Overload of any cause shows in the wait that a host's own answers predict. What is beyond its
         customer's share yields at half of it."""
         wait, begun = host.wait() * (2 if evt.beyond and self.overloaded() else 1), evt.func.opening.get(host)
-        if begun is not None and not host.holds(evt.func, self.now):    # behind a load: not past the client's time
-            return wait + max(self.load + begun - self.now, (self.now - begun) / 2) < evt.until - self.now
+        if begun is not None and not host.holds(evt.func, self.now):
+            # Behind a load: it is held to go on as long again; past the target time only a few wait there.
+            wait += max(self.load + begun - self.now, self.now - begun)
+            few = sum(t.evt.func is evt.func for t in host.out) < WAITERS
+            return wait <= (evt.until - self.now if few else evt.clause.target)
         return wait <= min(evt.clause.target, evt.until - self.now) or not host.out
 
     def overloaded(self):
