--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -285,18 +285,18 @@
         second = self.heir(func.second, lambda h: h is not home and fits(h)) or home
         hot = func.count >= gate.history.bar
         pick = second if home.sheds or hot and len(second.out) < len(home.out) else home
-        stand = [h for h in func.copies if h.holds(func, now) and not h.sheds and h.ready(now) and fits(h)]
-        spare = min(stand, key=lambda h: (len(h.out), h.id), default=None)
-        if pick.sheds and spare:    # both are at T2: to the least busy host below it where a copy stands
-            pick = spare
-        if spare and not pick.holds(func, now) and (gate.deed.orders or pick in func.opening):
-            return spare, pick      # nobody waits behind a load while a copy stands: one opens the new copy
-        if pick.wait() > evt.clause.target:     # predicted late: to the copy with the least wait
-            others = [h for h in func.copies if h.holds(func, now) and h.ready(now) and fits(h)]
-            pick = min([pick, *others], key=lambda h: (h.wait(), h.id))
-            if pick.wait() > evt.clause.target and now > self.calm and now - gate.tight > gate.deed.linger:
-                pick = self.heir(func.home, lambda h: h.wait() < evt.clause.target / 2 and fits(h)) or pick
-                self.calm = now + gate.load
+        # Past the pair: both at T2, or predicted late, the least wait among hosts where a copy stands.
+        late, rank = evt.clause.target, lambda h: (h.sheds, h.wait(), h.id)
+        stand = [h for h in func.copies if h.holds(func, now) and h.ready(now) and fits(h)]
+        if stand and (pick.sheds or pick.wait() > late):
+            pick = min([pick, *stand], key=rank)
+        if not pick.holds(func, now) and (gate.deed.orders or pick in func.opening):
+            spare = min(stand, key=rank, default=None)
+            if spare and not spare.sheds:
+                return spare, pick      # nobody waits behind a load while a copy stands: one opens the new copy
+        if pick.wait() > late and now > self.calm and now - gate.tight > gate.deed.linger:
+            pick = self.heir(func.home, lambda h: h.wait() < late / 2 and fits(h)) or pick
+            self.calm = now + gate.load
         return pick, None
 
 
