--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -285,8 +285,12 @@
         second = self.heir(func.second, lambda h: h is not home and fits(h)) or home
         hot = func.count >= gate.history.bar
         pick = second if home.sheds or hot and len(second.out) < len(home.out) else home
-        # Past the pair: both at T2, or predicted late, the least wait among hosts where a copy stands.
-        late, rank = evt.clause.target, lambda h: (h.sheds, h.wait(), h.id)
+        # Past the pair: both at T2, or predicted late, the fewest out among hosts in time where a copy stands.
+        late = evt.clause.target
+
+        def rank(host):
+            return host.sheds or host.wait() > late, len(host.out), host.wait(), host.id
+
         stand = [h for h in func.copies if h.holds(func, now) and h.ready(now) and fits(h)]
         if stand and (pick.sheds or pick.wait() > late):
             pick = min([pick, *stand], key=rank)
