--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 from hashlib import sha1
+from math import modf
 from zlib import crc32
 
 from cherrydoor import interface as io
@@ -76,10 +77,6 @@
         super().__init__(gate.loop)
         self.gate, self.functions, self.bar, self.calls = gate, {}, CALLED, 0.0
 
-    def called(self, func):
-        func.count += 1
-        self.calls += 1
-
     def window(self, now):
         self.calls /= 2
         for func in list(self.functions.values()):
@@ -92,8 +89,11 @@
         most = sorted((f.count for f in self.functions.values()), reverse=True)[:FEW]
         self.bar = max(CALLED, most[-1] if len(most) == FEW else 0)
 
-    def opens(self, func, host, since):
-        func.opening.setdefault(host, since)
+    def called(self, func):
+        func.count, self.calls = func.count + 1, self.calls + 1
+
+    def opens(self, func, host):
+        func.opening.setdefault(host, self.gate.now)
 
     def tells(self, func, host, fate, copy, stood):
         """A load where a copy was known to stand means that the function was released anew or its copies
@@ -123,7 +123,7 @@
     def reset(self, since):
         """A process that starts anew has an empty memory and a clean slate."""
         self.since, self.heard, self.strikes, self.shut, self.probing = since, 0.0, 0, 0.0, False
-        self.sheds = self.silent = self.slow = False
+        self.sheds = self.silent = False
         self.pace, self.crowd, self.full_at = None, 1.0, -1e18
         self.sent_cold = deque()    # launch times while cold; they leave after the rule's window
 
@@ -132,30 +132,27 @@
             self.reset(since)
         self.state = state
 
-    # ---- the one notion of ready: what fails it hands the range on to the next in order
     def level(self, now):
         """The share of its full capacity that a host has at least."""
         deed = self.gate.deed
-        if not self.since or now - self.since >= deed.cold:
-            return 1.0
-        return min(1.0, deed.cold_from + (1 - deed.cold_from) * max(0.0, now - self.since) / deed.cold)
+        age = max(0.0, now - self.since) / (deed.cold or 1.0) if self.since else 1.0
+        return min(1.0, deed.cold_from + (1 - deed.cold_from) * age)
 
     def room(self, now):
         """Rule 4, by this gateway alone: a host's capacity is at least what a host handles now, so a cold
         one gets at most its level's part of the multiple of that, less a margin for chance, of this gateway's
         own traffic. All gateways doing so keep it. With little traffic so far it harms: one a window."""
         level = self.level(now)
-        if level >= 1.0 or not self.gate.deed.fall:
-            return True
         self.gate.forget(self.sent_cold, self.gate.deed.fall)
-        return len(self.sent_cold) < max(1.0, 0.6 * self.gate.deed.multiple * level * self.gate.borne())
+        spare = max(1.0, self.gate.deed.budget * level * self.gate.borne()) - len(self.sent_cold)
+        return level >= 1.0 or not self.gate.deed.fall or spare > 0
 
     def ready(self, now, part=0.0):
-        """Ready for this part (0 to 1) of its range. A cold host takes its range back bit by bit as it
-        warms, the same bits at every gateway: no flood of work nor of loads. It ends once it is warm."""
+        """The one notion of ready, for this part (0 to 1) of its range; what fails it hands the range on.
+        A cold host takes its range back bit by bit as it warms, the same bits at every gateway."""
         if self.state != io.READY or part > self.level(now) or not self.room(now):
             return False
-        bad = self.silent or self.slow or self.shut > now or self.probing or self.strikes > 1 and self.out
+        bad = self.silent or self.shut > now or self.probing or self.strikes > 1 and self.out
         return self.gate.blind or not bad
 
     def holds(self, func, now):
@@ -168,21 +165,16 @@
         pace = max(self.pace or self.gate.pace, self.gate.now - oldest)
         return pace * (len(self.out) + 1) / self.crowd
 
-    # ---- notes
     def sent(self, launch, now):
         self.out[launch] = now
         self.crowd += 0.1 * (max(1, len(self.out)) - self.crowd)
-        if self.level(now) < 1.0:
-            self.sent_cold.append(now)
+        self.sent_cold.extend([now] * (self.level(now) < 1.0))
         self.mark(now)
 
     def mark(self, now):
         """T1 and T2. A full answer counts as T2."""
-        t2 = max(3.0, PATIENCE * self.gate.deed.target / self.gate.brisk)
-        if len(self.out) >= t2:
-            self.sheds = True
-        elif len(self.out) < 0.6 * t2 and now - self.full_at > SWEEP:
-            self.sheds = False
+        out, t2 = len(self.out), max(3.0, PATIENCE * self.gate.deed.target / self.gate.brisk)
+        self.sheds = out >= t2 or self.sheds and (out >= 0.6 * t2 or now - self.full_at <= SWEEP)
 
     def back(self, launch, note, now):
         self.out.pop(launch, None)
@@ -191,8 +183,7 @@
         if note.fate == io.HANDLED:
             self.strikes = 0
             if note.copy in (0, 1):
-                old = self.pace or note.took
-                self.pace = old + 0.1 * (note.took - old)
+                self.pace = 0.9 * (self.pace or note.took) + 0.1 * note.took
         elif note.fate == io.FULL and launch.stood:
             self.full_at, self.sheds = now, True
         elif note.fate in (io.ERROR, io.LOST) and note.copy != 4:
@@ -239,10 +230,9 @@
 
 
 class Zone(Actor):
-    """The Zone Table: equal ranges over the sorted ids of all listed hosts.
-
-    Exception: when hosts come and go the ranges are not cut anew, which would move most functions. A newcomer
-    takes the range of one that drains or is gone. Only what is left over for long has them cut anew."""
+    """The Zone Table: equal ranges over the sorted ids of all listed hosts. When hosts come and go they are
+    not cut anew, which would move most functions: a newcomer takes the range of one that drains or is gone.
+    Only what is left over for long has them cut anew."""
 
     def __init__(self, gate):
         super().__init__(gate.loop)
@@ -261,9 +251,8 @@
 
     def heir(self, pos, fits):
         """The owner of this place in the id space, or the next ready one in order."""
-        n, now = len(self.slots), self.gate.now
-        first = int(pos * n)
-        part = pos * n - first
+        now, (part, first) = self.gate.now, modf(pos * len(self.slots))
+        first = int(first)
         order = self.slots[first:] + self.slots[:first]
         for bar in (part, 0.0):
             for host in order:
@@ -285,7 +274,7 @@
         second = self.heir(func.second, lambda h: h is not home and fits(h)) or home
         hot = func.count >= gate.history.bar
         pick = second if home.sheds or hot and len(second.out) < len(home.out) else home
-        # Past the pair: both at T2, or predicted late, the fewest out among hosts in time where a copy stands.
+        # Past the pair (both at T2, or predicted late): the fewest out in time where a copy stands.
         late = evt.clause.target
 
         def rank(host):
@@ -297,7 +286,7 @@
         if not pick.holds(func, now) and (gate.deed.orders or pick in func.opening):
             spare = min(stand, key=rank, default=None)
             if spare and not spare.sheds:
-                return spare, pick      # nobody waits behind a load while a copy stands: one opens the new copy
+                return spare, pick  # nobody waits behind a load while a copy stands: one opens the new copy
         if pick.wait() > late and now > self.calm and now - gate.tight > gate.deed.linger:
             pick = self.heir(func.home, lambda h: h.wait() < late / 2 and fits(h)) or pick
             self.calm = now + gate.load
@@ -308,11 +297,11 @@
     """The few figures that decisions use, drawn from the lease."""
 
     def __init__(self, lease):
-        self.me, self.asks, self.twice, self.launches = (
-            lease.me, lease.asks, lease.twice, min(lease.launches, 1 + FURTHER))
-        self.probes, self.recalls, self.advice = lease.probes, lease.recalls, lease.advice
-        self.cold_from, self.cold, self.multiple, self.fall = (
-            lease.cold_from, lease.cold, lease.fall_multiple, lease.fall)
+        self.me, self.asks, self.twice, self.probes = lease.me, lease.asks, lease.twice, lease.probes
+        self.launches, self.recalls = min(lease.launches, 1 + FURTHER), lease.recalls
+        self.cold_from, self.cold, self.fall, self.advice = (
+            lease.cold_from, lease.cold, lease.fall, lease.advice)
+        self.budget = 0.6 * lease.fall_multiple     # of rule 4, less a margin for chance
         self.linger, self.orders, self.misses = lease.linger or LINGER, lease.orders, lease.misses
         self.ration = (lease.loads_free, lease.loads_share, lease.loads_within)
         self.target = min(c.target for c in lease.clauses)
@@ -361,8 +350,7 @@
     # ---- the door: ids become objects
     def listing(self, note):
         if note.how == io.FAILED:
-            self.ring(500 * (1 + self.chance()), "ask")
-            return
+            return self.ring(500 * (1 + self.chance()), "ask")
         named = {row.host for row in note.rows}
         for row in note.rows:
             host = self.hosts[row.host] = self.hosts.get(row.host) or Host(self, row)
@@ -403,11 +391,7 @@
             self.post("close", evt)
 
     def wake(self, note):
-        if note.token == "ask":
-            self.actions.append(io.Subscribe())
-        elif note.token == "sweep":
-            self.ring(self.deed.sweep, "sweep")
-            self.post("sweep")
+        self.actions.append(io.Subscribe()) if note.token == "ask" else self.post("sweep")
 
     def probed(self, note):
         if note.host in self.hosts:
@@ -415,15 +399,13 @@
 
     def loaded(self, note):
         func, host = self.history.functions.get(note.function), self.hosts.get(note.host)
-        if func is None or host is None:
+        if not func or not host:
             return
         stood = note.fate == io.HANDLED and note.copies > 0
         self.history.post("tells", func, host, note.fate, 0, False)
-        waiting, func.waiting = func.waiting, []
-        for evt in waiting:
-            self.post("route" if stood else "give_up", evt)
+        while func.waiting:
+            self.post("route" if stood else "give_up", func.waiting.pop(0))
 
-    # ---- an event's way
     def route(self, evt):
         """Takes an event only if it is predicted in time."""
         if evt.over:
@@ -431,11 +413,10 @@
         host, open_at = self.zone.choose(evt)
         if open_at is not None:
             self.order(evt.func, open_at)
-        if host is None or not evt.tries and not self.in_time(evt, host):
-            self.strain += host is not None
-            self.give_up(evt)
-        else:
-            self.launch(evt, host)
+        if host is not None and (evt.tries or self.in_time(evt, host)):
+            return self.launch(evt, host)
+        self.strain += host is not None
+        self.give_up(evt)
 
     def in_time(self, evt, host):
         """Overload of any cause shows in the wait that a host's own answers predict. What is beyond its
@@ -476,7 +457,7 @@
         self.actions.append(io.Launch(evt.id, host.id, 0.0))
         host.post("sent", launch, self.now)
         if not launch.stood:
-            self.history.post("opens", evt.func, host, self.now)
+            self.history.post("opens", evt.func, host)
 
     def landed(self, evt, launch, note):
         if note.fate == io.HANDLED:
@@ -503,8 +484,8 @@
         """A launch to a silent host is recalled so that another may follow; never one that could harm."""
         evt = launch.evt
         plain = launch.fate is None and evt.clause.kind == io.REDELIVERABLE and not evt.streams
-        if self.deed.recalls and plain and (
-                evt.over or len(evt.tries) < self.deed.launches and not self.overloaded()):
+        useful = evt.over or len(evt.tries) < self.deed.launches and not self.overloaded()
+        if self.deed.recalls and plain and useful:
             self.actions.append(io.Recall(evt.id, evt.tries.index(launch)))
 
     def give_up(self, evt):
@@ -513,14 +494,10 @@
             return
         ran, clause = evt.may_have_run(), evt.clause
         young = not ran or self.now - ran[0].sent < 0.5 * clause.memory
-        harmless = not ran or clause.kind == io.REDELIVERABLE or (
-            clause.kind == io.KEYED and clause.group == "all" and young)
-        evt.over = True
-        if harmless:
-            advice = min(self.deed.advice, max(self.pace, 100.0)) * (1 + self.chance()) / 2
-            self.actions.append(io.Defer(evt.id, advice))
-        else:
-            self.actions.append(io.DeadLetter(evt.id))
+        drops = clause.kind == io.KEYED and clause.group == "all" and young
+        evt.over, advice = True, min(self.deed.advice, max(self.pace, 100.0)) * (1 + self.chance()) / 2
+        harmless = not ran or drops or clause.kind == io.REDELIVERABLE
+        self.actions.append(io.Defer(evt.id, advice) if harmless else io.DeadLetter(evt.id))
         self.close(evt)
 
     def close(self, evt):
@@ -540,16 +517,15 @@
         if host in func.opening:
             return True
         if within:
-            self.forget(self.ordered, within)
-            self.forget(self.taken, within)
+            self.forget(self.ordered, 1.01 * within)    # both err on the safe side
+            self.forget(self.taken, 0.99 * within)
             if len(self.ordered) + 1 > free + share * len(self.taken):
                 return False
             self.ordered.append(self.now)
         self.actions.append(io.Order(func.name, host.id, copies))
-        self.history.post("opens", func, host, self.now)
+        self.history.post("opens", func, host)
         return True
 
-    # ---- what goes on
     def forget(self, times, within):
         while times and times[0] <= self.now - within:
             times.popleft()
@@ -557,8 +533,7 @@
     def borne(self):
         """Events that one warm host handles for this gateway in the cold rule's window."""
         self.forget(self.handled, self.deed.fall)
-        warm = sum(h.state == io.READY for h in self.zone.slots)
-        return len(self.handled) / max(1, warm)
+        return len(self.handled) / max(1, sum(h.state == io.READY for h in self.zone.slots))
 
     def beyond(self, party):
         """True for what a customer sends beyond an equal part of its share."""
@@ -567,16 +542,14 @@
 
     def sweep(self):
         now = self.now
+        self.ring(self.deed.sweep, "sweep")
         self.borne()
-        self.forget(self.taken, self.deed.ration[2])
+        self.forget(self.taken, 0.99 * self.deed.ration[2])
         running = [h for h in self.hosts.values() if h.state == io.READY]
-        paces = sorted(h.pace for h in running if h.pace)
-        usual = paces[len(paces) // 2] if paces else self.pace
         for host in running:
-            host.slow = bool(host.pace) and host.pace / host.crowd > 4 * usual and host.pace > self.pace
             host.post("sweep", now)
         # When most hosts look bad it is likelier this gateway's own sight: then none is held to be.
-        self.blind = sum(h.silent or h.slow or h.shut > now or h.probing for h in running) * 2 > len(running)
+        self.blind = sum(h.silent or h.shut > now or h.probing for h in running) * 2 > len(running)
         self.hosts = {h.id: h for h in self.hosts.values()
                       if h.state != io.GONE or h.out or h in self.zone.slots}
         for func in self.history.functions.values():
