Only the most-called functions have a second worker to shed to, as the design has it

Cause: a home at T2 shed every function, so each gateway loaded rarely called ones on its own second worker too.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -273,7 +273,7 @@
             return None, None
         second = self.heir(func.second, lambda h: h is not home and fits(h)) or home
         hot = func.count >= gate.history.bar
-        pick = second if home.sheds or hot and len(second.out) < len(home.out) else home
+        pick = second if hot and (home.sheds or len(second.out) < len(home.out)) else home
         # Past the pair (both at T2, or predicted late): the fewest out in time where a copy stands.
         late = evt.clause.target
 
