--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -161,8 +161,8 @@
 
     def wait(self):
         """The time that an event sent now is predicted to take, by its own answers and its own events out."""
-        oldest = next((t.sent for t in self.out if t.stood), self.gate.now)
-        pace = max(self.pace or self.gate.pace, self.gate.now - oldest)
+        stood = [t.sent for t in self.out if t.stood] or [self.gate.now]
+        pace = max(self.pace or self.gate.pace, self.gate.now - stood[len(stood) // 2])
         return pace * (len(self.out) + 1) / self.crowd
 
     def sent(self, launch, now):
