--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -159,10 +159,10 @@
         seen = func.copies.get(self)
         return seen is not None and seen > self.since and now - seen < self.gate.deed.linger
 
-    def wait(self):
+    def wait(self, func):
         """The time that an event sent now is predicted to take, by its own answers and its own events out."""
-        stood = [t.sent for t in self.out if t.stood] or [self.gate.now]
-        pace = max(self.pace or self.gate.pace, self.gate.now - stood[len(stood) // 2])
+        since = [t.sent if t.evt.func is func else max(t.sent, self.heard) for t in self.out if t.stood]
+        pace = max(self.pace or self.gate.pace, self.gate.now - min(since, default=self.gate.now))
         return pace * (len(self.out) + 1) / self.crowd
 
     def sent(self, launch, now):
@@ -278,17 +278,17 @@
         late = evt.clause.target
 
         def rank(host):
-            return host.sheds or host.wait() > late, len(host.out), host.wait(), host.id
+            return host.sheds or host.wait(func) > late, len(host.out), host.wait(func), host.id
 
         stand = [h for h in func.copies if h.holds(func, now) and h.ready(now) and fits(h)]
-        if stand and (pick.sheds or pick.wait() > late):
+        if stand and (pick.sheds or pick.wait(func) > late):
             pick = min([pick, *stand], key=rank)
         if not pick.holds(func, now) and (gate.deed.orders or pick in func.opening):
             spare = min(stand, key=rank, default=None)
             if spare and not spare.sheds:
                 return spare, pick  # nobody waits behind a load while a copy stands: one opens the new copy
-        if pick.wait() > late and now > self.calm and now - gate.tight > gate.deed.linger:
-            pick = self.heir(func.home, lambda h: h.wait() < late / 2 and fits(h)) or pick
+        if pick.wait(func) > late and now > self.calm and now - gate.tight > gate.deed.linger:
+            pick = self.heir(func.home, lambda h: h.wait(func) < late / 2 and fits(h)) or pick
             self.calm = now + gate.load
         return pick, None
 
@@ -421,7 +421,7 @@
     def in_time(self, evt, host):
         """Overload of any cause shows in the wait that a host's own answers predict. What is beyond its
         customer's share yields at half of it."""
-        wait, begun = host.wait() * (2 if evt.beyond and self.overloaded() else 1), evt.func.opening.get(host)
+        wait, begun = host.wait(evt.func) * (2 if evt.beyond and self.overloaded() else 1), evt.func.opening.get(host)
         if begun is not None and not host.holds(evt.func, self.now):
             # Behind a load: it is held to go on as long again; past the target time only a few wait there.
             wait += max(self.load + begun - self.now, self.now - begun)
