--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -421,7 +421,8 @@
     def in_time(self, evt, host):
         """Overload of any cause shows in the wait that a host's own answers predict. What is beyond its
         customer's share yields at half of it."""
-        wait, begun = host.wait(evt.func) * (2 if evt.beyond and self.overloaded() else 1), evt.func.opening.get(host)
+        wait, begun = host.wait(evt.func), evt.func.opening.get(host)
+        wait *= 2 if evt.beyond and self.overloaded() else 1
         if begun is not None and not host.holds(evt.func, self.now):
             # Behind a load: it is held to go on as long again; past the target time only a few wait there.
             wait += max(self.load + begun - self.now, self.now - begun)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -18,6 +18,22 @@
     assert kinds(fleet.answer(gone, io.LOST)) == [] and not fleet.gate.events
 
 
+def test_rule_1_no_launch_past_the_end_and_three_at_most_and_no_second_answer():
+    fleet = Fleet("abcdef")
+    event, _ = fleet.event()
+    evt, host = fleet.gate.events[event], fleet.gate.hosts["a"]
+    for _ in range(3):
+        found = fleet.answer(event, io.FULL)
+    assert len(fleet.sent[event]) == 3 and kinds(found) == [io.Defer]
+    fleet.gate.actions, evt.tries = [], []
+    fleet.gate.give_up(evt)
+    assert not fleet.gate.actions and not fleet.gate.may(evt, host)
+    evt.over = False
+    assert fleet.gate.may(evt, host)
+    fleet.gate.now = evt.until
+    assert not fleet.gate.may(evt, host)
+
+
 def test_rule_1_no_host_at_all_is_answered_at_once():
     fleet = Fleet("a")
     fleet.list(a={"state": io.GONE})
@@ -25,7 +41,7 @@
 
 
 def test_rule_2_at_most_once_is_launched_again_only_if_it_never_ran():
-    fleet = Fleet(clauses=(CLAUSE._replace(kind=io.AT_MOST_ONCE),))
+    fleet = Fleet(clauses=(CLAUSE._replace(kind=io.AT_MOST_ONCE, memory=9000.0),))
     event, _ = fleet.event()
     fleet.answer(event, io.FULL)
     assert len(fleet.sent[event]) == 2
@@ -121,7 +137,8 @@
     fleet = Fleet(clauses=(CLAUSE._replace(stream=True),))
     event, _ = fleet.event()
     fleet.take(io.Underway(event, 0, fleet.sent[event][0]))
-    assert kinds(fleet.rest(20000)).count(io.Recall) == 0
+    fleet.gate.take_back(fleet.gate.events[event].tries[0])
+    assert io.Recall not in kinds(fleet.gate.actions + fleet.rest(20000))
     assert kinds(fleet.answer(event, io.LOST, over=True)) == [] and not fleet.gate.events
 
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -51,6 +51,8 @@
     fleet.answer(event, io.FULL)
     home, heir = fleet.sent[event]
     assert heir == order[(order.index(home) + 1) % 4] and not fleet.gate.hosts[home].sheds
+    fleet.answer(event)
+    assert fleet.handle("deed") == heir
     assert home in {fleet.handle(f"f{i}") for i in range(20)}
 
 
@@ -158,3 +160,60 @@
         fleet.gate.hosts[host].strikes, fleet.gate.hosts[host].shut = 2, fleet.now + 60000
     fleet.rest(100)
     assert {fleet.handle(f"f{i}") for i in range(30)} == {"a", "b", "c"}
+
+
+def test_only_the_most_called_shed_to_a_second_worker():
+    fleet = Fleet()
+    home = fleet.handle("rare")
+    host = fleet.gate.hosts[home]
+    while not host.sheds:       # busy with another function that lives there
+        host.post("sent", Stuck(host), fleet.now)
+        fleet.list()
+    assert fleet.handle("rare") == home
+
+
+class Stuck:
+    """A launch of some other function, as a host's inbox sees it."""
+    stood, sent = True, 0.0
+
+    def __init__(self, host):
+        self.host, self.evt, self.sent = host, self, host.gate.now
+        self.func, self.streams = None, False
+
+
+def test_one_launch_stuck_behind_a_reload_does_not_make_its_host_look_late():
+    fleet = Fleet()
+    home = fleet.handle("deed")
+    swept = next(f for f in (f"f{i}" for i in range(50)) if fleet.handle(f) == home)
+    fleet.event(swept)                              # its copy was swept out: it waits for a load
+    for _ in range(4):
+        assert fleet.handle("deed", later=120.0) == home
+    stuck = fleet.gate.hosts[home]
+    funcs = fleet.gate.history.functions
+    assert stuck.wait(funcs[swept]) > 800 > stuck.wait(funcs["deed"])
+
+
+def test_few_wait_behind_a_load_that_ends_past_the_target_time():
+    fleet = Fleet()
+    found = [type(a) for _ in range(12) for a in fleet.event("deed", later=100.0)[1]]
+    there = [hosts[0] for hosts in fleet.sent.values()]
+    assert max(there.count(h) for h in there) == 4 and io.Defer in found
+
+
+def test_time_out_behind_a_load_leaves_the_load_noted_and_teaches_its_length():
+    fleet = Fleet()
+    event, _ = fleet.event("deed", max_age=3000.0)
+    fleet.answer(event, io.NO_ANSWER, took=3000.0, later=3000.0)
+    func = fleet.gate.history.functions["deed"]
+    assert func.opening and fleet.gate.load > 1000.0
+
+
+def test_all_copies_late_opens_one_more_unless_memory_is_short():
+    for tight in (False, True):
+        fleet = Fleet("abc")
+        home = fleet.handle("deed")
+        fleet.gate.tight = fleet.now if tight else fleet.gate.tight
+        fleet.event("deed")
+        fleet.now += 700
+        event, _ = fleet.event("deed")
+        assert (fleet.sent.get(event, [home]) != [home]) == (not tight)
