--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -18,6 +18,7 @@
 CALLED = 6              # and the least count that makes one of them
 WINDOW = 2000           # counts halve each window
 SWEEP = 100             # how often hosts look at their own silence
+SURE = 0.75             # share of the target time that a predicted wait may fill, as predictions err
 WAITERS = 4             # own events that wait behind one load though it ends past the target time
 FURTHER = 2             # further launches for one event
 RECUT = 15000           # a vacancy or a newcomer left over for so long has the ranges cut anew
@@ -275,7 +276,7 @@
         hot = func.count >= gate.history.bar
         pick = second if hot and (home.sheds or len(second.out) < len(home.out)) else home
         # Past the pair (both at T2, or predicted late): the fewest out in time where a copy stands.
-        late = evt.clause.target
+        late = SURE * evt.clause.target
 
         def rank(host):
             return host.sheds or host.wait(func) > late, len(host.out), host.wait(func), host.id
@@ -307,7 +308,6 @@
         self.target = min(c.target for c in lease.clauses)
         self.clauses = {c.name: c for c in lease.clauses}
         self.parts = {p.name: p.per_second / lease.gateways / 1000 for p in lease.parties}
-        self.sweep = max(SWEEP, lease.step)
 
 
 class Gateway(Actor):
@@ -326,7 +326,7 @@
 
     def start(self, now):
         self.now, self.next_window, self.actions = now, now + WINDOW, []
-        self.ring(self.deed.sweep * (1 + self.chance()), "sweep")
+        self.ring(SWEEP * (1 + self.chance()), "sweep")
         if self.deed.asks:
             self.actions.append(io.Subscribe())
         return self.actions
@@ -428,7 +428,7 @@
             wait += max(self.load + begun - self.now, self.now - begun)
             few = sum(t.evt.func is evt.func for t in host.out) < WAITERS
             return wait <= (evt.until - self.now if few else evt.clause.target)
-        return wait <= min(evt.clause.target, evt.until - self.now) or not host.out
+        return wait <= min(SURE * evt.clause.target, evt.until - self.now) or not host.out
 
     def overloaded(self):
         return self.strain > 2 + 0.1 * self.history.calls
@@ -543,7 +543,7 @@
 
     def sweep(self):
         now = self.now
-        self.ring(self.deed.sweep, "sweep")
+        self.ring(SWEEP, "sweep")
         self.borne()
         self.forget(self.taken, 0.99 * self.deed.ration[2])
         running = [h for h in self.hosts.values() if h.state == io.READY]
