Ranges are cut anew only after a minute's vacancy

Cause: an outage longer than 15 s had the ranges cut anew twice, at its end too, which moved most functions.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -21,7 +21,7 @@
 SURE = 0.75             # share of the target time that a predicted wait may fill, as predictions err
 WAITERS = 4             # own events that wait behind one load though it ends past the target time
 FURTHER = 2             # further launches for one event
-RECUT = 15000           # a vacancy or a newcomer left over for so long has the ranges cut anew
+RECUT = 60000           # a vacancy or a newcomer left over for so long has the ranges cut anew
 LINGER = 6000           # an idle copy is believed to stand for so long, where nothing is said
 
 
