A host left over without a range is placed after 15 s, a vacancy is kept for a minute

Guards a gateway restarted during an outage, whose short table has no place for the hosts that return.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -21,7 +21,7 @@
 SURE = 0.75             # share of the target time that a predicted wait may fill, as predictions err
 WAITERS = 4             # own events that wait behind one load though it ends past the target time
 FURTHER = 2             # further launches for one event
-RECUT = 60000           # a vacancy or a newcomer left over for so long has the ranges cut anew
+RECUT = 60000           # a vacancy of this length, or a host left over for a quarter of it, recuts the ranges
 LINGER = 6000           # an idle copy is believed to stand for so long, where nothing is said
 
 
@@ -241,12 +241,12 @@
 
     def relist(self, now):
         listed = sorted((h for h in self.gate.hosts.values() if h.state != io.GONE), key=lambda h: h.id)
-        if not self.slots or now - self.even > RECUT:
-            self.slots = listed
         new = [h for h in listed if h not in self.slots and h.state == io.READY]
         for i, host in enumerate(self.slots):
             if new and host.state != io.READY:
                 self.slots[i] = new.pop(0)
+        if not self.slots or now - self.even > (RECUT / 4 if new else RECUT):
+            self.slots, new = listed, []
         if not new and all(h.state != io.GONE for h in self.slots):
             self.even = now
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -217,3 +217,15 @@
         fleet.now += 700
         event, _ = fleet.event("deed")
         assert (fleet.sent.get(event, [home]) != [home]) == (not tight)
+
+
+def test_ranges_are_cut_anew_for_a_long_vacancy_and_sooner_for_a_host_left_over():
+    fleet = Fleet()
+    fleet.list(b={"state": io.GONE})
+    fleet.rest(50000)
+    assert len(fleet.gate.zone.slots) == 4
+    fleet.rest(11000)
+    assert [h.id for h in fleet.gate.zone.slots] == ["a", "c", "d"]
+    fleet.list(b={"state": io.READY, "since": fleet.now})
+    fleet.rest(16000)
+    assert [h.id for h in fleet.gate.zone.slots] == ["a", "b", "c", "d"]
