--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -26,8 +26,6 @@
 
 
 class Actor:
-    """A part with an inbox."""
-
     def __init__(self, loop):
         self.loop, self.inbox = loop, deque()
 
@@ -50,6 +48,7 @@
     def __init__(self, arrival, clause, func, beyond):
         self.id, self.clause, self.func, self.until = arrival.event, clause, func, arrival.until
         self.beyond, self.tries, self.over, self.streams = beyond, [], False, False
+        self.lanes = max(1, int(arrival.lanes))
 
     def out(self):
         return [t for t in self.tries if t.fate is None]
@@ -216,8 +215,7 @@
                 self.gate.actions.append(io.Probe(self.id))
             elif self.silent:
                 self.probed(io.NO_ANSWER, now)
-        if self.pace:
-            self.pace += 0.02 * (self.gate.pace - self.pace)
+        self.pace = self.pace and self.pace + 0.02 * (self.gate.pace - self.pace)
 
     def probed(self, fate, now):
         self.probing = False
@@ -317,12 +315,11 @@
         super().__init__(deque())
         self.deed, self.seed, self.drawn, self.now = Deed(lease), lease.seed, 0, 0.0
         self.pace, self.brisk = self.deed.target / 4, self.deed.target / 10   # mean, and three in ten quicker
-        self.load, self.strain, self.blind, self.actions = 1000.0, 0.0, False, []
+        self.load, self.strain, self.blind, self.tight, self.actions = 1000.0, 0.0, False, -1e18, []
         self.events, self.hosts = {}, {}        # dropped when over; dropped when gone and nothing is out
         self.history, self.zone = History(self), Zone(self)
         self.spent = {}                         # events by customer, halved each window
         self.handled, self.ordered, self.taken = deque(), deque(), deque()  # times; windows of rules 4, 5
-        self.next_window, self.tight = 0.0, -1e18
 
     def start(self, now):
         self.now, self.next_window, self.actions = now, now + WINDOW, []
@@ -463,6 +460,8 @@
     def landed(self, evt, launch, note):
         if note.fate == io.HANDLED:
             self.handled.append(self.now)
+            if note.crowd >= evt.lanes and note.copy == 1 and self.now - self.tight > self.deed.linger:
+                self.order(evt.func, launch.host, min(16, 1 + note.crowd // evt.lanes))     # short of lanes
             if note.copy in (0, 1):
                 self.pace += 0.02 * (note.took - self.pace)
                 self.brisk *= 1.006 if note.took > self.brisk else 0.986
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -146,3 +146,13 @@
     fleet = Fleet(asks=True)
     assert io.Ring in [type(a) for a in fleet.take(io.Listing(io.FAILED, ()))]
     assert kinds(fleet.take(io.Wake("ask"))) == [io.Subscribe]
+
+
+def test_copies_short_of_lanes_are_ordered_unless_memory_is_short():
+    for tight in (False, True):
+        fleet = Fleet(orders=True)
+        fleet.handle("deed")
+        fleet.gate.tight = fleet.now if tight else fleet.gate.tight
+        event, _ = fleet.event("deed")
+        found = fleet.take(io.Outcome(event, 0, io.HANDLED, True, fleet.sent[event][0], 50.0, 1, 9))
+        assert [a.copies for a in found if isinstance(a, io.Order)] == ([] if tight else [3])
