Most-called goes by the work at once of all gateways, no longer by a count

Found on a site copy with forty hosts, ten gateways and a 2.5 s target: each gateway sees so little that no function ever reached a count of six, so none was spread. Now it is most-called from 0.2 events at work at once on, if all gateways call it alike.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -15,7 +15,7 @@
 NEVER_RAN = (io.FULL, io.NO_CONNECTION, io.UNSENT, io.MISSING)
 PATIENCE = 0.5          # T2 is the own events out that would take this share of the target time one by one
 FEW = 8                 # how many functions are the most-called
-CALLED = 6              # and the least count that makes one of them
+BUSY = 0.2              # and the least events of one at work at once, over all gateways, that make it one
 WINDOW = 2000           # counts halve each window
 SWEEP = 100             # how often hosts look at their own silence
 SURE = 0.75             # share of the target time that a predicted wait may fill, as predictions err
@@ -75,7 +75,7 @@
 
     def __init__(self, gate):
         super().__init__(gate.loop)
-        self.gate, self.functions, self.bar, self.calls = gate, {}, CALLED, 0.0
+        self.gate, self.functions, self.bar, self.calls = gate, {}, 0.0, 0.0
 
     def window(self, now):
         self.calls /= 2
@@ -87,7 +87,7 @@
             if func.count < 0.5 and not func.open:
                 del self.functions[func.name]
         most = sorted((f.count for f in self.functions.values()), reverse=True)[:FEW]
-        self.bar = max(CALLED, most[-1] if len(most) == FEW else 0)
+        self.bar = most[-1] if len(most) == FEW else 0.0
 
     def called(self, func):
         func.count, self.calls = func.count + 1, self.calls + 1
@@ -271,7 +271,7 @@
         if home is None:
             return None, None
         second = self.heir(func.second, lambda h: h is not home and fits(h)) or home
-        hot = func.count >= gate.history.bar
+        hot = func.count >= max(gate.history.bar, BUSY * 2 * WINDOW / (gate.deed.gateways * gate.brisk))
         pick = second if hot and (home.sheds or len(second.out) < len(home.out)) else home
         # Past the pair (both at T2, or predicted late): the fewest out in time where a copy stands.
         late = SURE * evt.clause.target
@@ -297,7 +297,8 @@
 
     def __init__(self, lease):
         self.me, self.asks, self.twice, self.probes = lease.me, lease.asks, lease.twice, lease.probes
-        self.launches, self.recalls = min(lease.launches, 1 + FURTHER), lease.recalls
+        self.launches, self.recalls, self.gateways = (
+            min(lease.launches, 1 + FURTHER), lease.recalls, lease.gateways)
         self.cold_from, self.cold, self.fall, self.advice = (
             lease.cold_from, lease.cold, lease.fall, lease.advice)
         self.budget = 0.6 * lease.fall_multiple     # of rule 4, less a margin for chance
@@ -317,8 +318,7 @@
         self.pace, self.brisk = self.deed.target / 4, self.deed.target / 10   # mean, and three in ten quicker
         self.load, self.strain, self.blind, self.tight, self.actions = 1000.0, 0.0, False, -1e18, []
         self.events, self.hosts = {}, {}        # dropped when over; dropped when gone and nothing is out
-        self.history, self.zone = History(self), Zone(self)
-        self.spent = {}                         # events by customer, halved each window
+        self.history, self.zone, self.spent = History(self), Zone(self), {}     # spent by customer, halved
         self.handled, self.ordered, self.taken = deque(), deque(), deque()  # times; windows of rules 4, 5
 
     def start(self, now):
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -24,7 +24,7 @@
 
 
 def test_home_at_t2_sheds_until_below_t1():
-    fleet = Fleet()
+    fleet = Fleet(gateways=10)
     host, held, shed_at = fleet.gate.hosts[fleet.handle("deed")], [], None
     while shed_at is None:
         event, _ = fleet.event("deed")
@@ -229,3 +229,10 @@
     fleet.list(b={"state": io.READY, "since": fleet.now})
     fleet.rest(16000)
     assert [h.id for h in fleet.gate.zone.slots] == ["a", "b", "c", "d"]
+
+
+def test_most_called_goes_by_the_work_at_once_of_all_gateways_not_by_a_count():
+    for gateways, spread in ((1, 1), (20, 2)):
+        fleet = Fleet(gateways=gateways)
+        hosts = {fleet.handle("deed")} | {fleet.sent[fleet.event("deed", later=1.0)[0]][0] for _ in range(2)}
+        assert len(hosts) == spread
