--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -229,9 +229,8 @@
 
 
 class Zone(Actor):
-    """The Zone Table: equal ranges over the sorted ids of all listed hosts. When hosts come and go they are
-    not cut anew, which would move most functions: a newcomer takes the range of one that drains or is gone.
-    Only what is left over for long has them cut anew."""
+    """The Zone Table: equal ranges over the sorted ids of all listed hosts. A newcomer takes the range of one
+    that drains or is gone; to cut all anew would move most functions, so only what lasts long does that."""
 
     def __init__(self, gate):
         super().__init__(gate.loop)
@@ -272,6 +271,8 @@
             return None, None
         second = self.heir(func.second, lambda h: h is not home and fits(h)) or home
         hot = func.count >= max(gate.history.bar, BUSY * 2 * WINDOW / (gate.deed.gateways * gate.brisk))
+        roomy = now - gate.tight > gate.deed.linger     # no host had no room lately: a copy more does no harm
+        hot = hot and (roomy or second.holds(func, now))
         pick = second if hot and (home.sheds or len(second.out) < len(home.out)) else home
         # Past the pair (both at T2, or predicted late): the fewest out in time where a copy stands.
         late = SURE * evt.clause.target
@@ -286,7 +287,7 @@
             spare = min(stand, key=rank, default=None)
             if spare and not spare.sheds:
                 return spare, pick  # nobody waits behind a load while a copy stands: one opens the new copy
-        if pick.wait(func) > late and now > self.calm and now - gate.tight > gate.deed.linger:
+        if pick.wait(func) > late and now > self.calm and roomy:
             pick = self.heir(func.home, lambda h: h.wait(func) < late / 2 and fits(h)) or pick
             self.calm = now + gate.load
         return pick, None
@@ -510,8 +511,7 @@
             evt.func.open -= 1
 
     def order(self, func, host, copies=1):
-        """The gate of orders to load: drains, the ration, and one order at a time for a copy."""
-        free, share, within = self.deed.ration
+        free, share, within = self.deed.ration      # the gate of orders to load
         if not self.deed.orders or host.state != io.READY:
             return False
         if host in func.opening:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -236,3 +236,12 @@
         fleet = Fleet(gateways=gateways)
         hosts = {fleet.handle("deed")} | {fleet.sent[fleet.event("deed", later=1.0)[0]][0] for _ in range(2)}
         assert len(hosts) == spread
+
+
+def test_no_copy_is_opened_on_a_second_worker_while_memory_is_short():
+    for tight in (False, True):
+        fleet = Fleet(gateways=20)
+        home = fleet.handle("deed")
+        fleet.gate.tight = fleet.now if tight else fleet.gate.tight
+        hosts = {fleet.sent[fleet.event("deed", later=1.0)[0]][0] for _ in range(3)}
+        assert (hosts == {home}) == tight
