--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -25,6 +25,19 @@
 LINGER = 6000           # an idle copy is believed to stand for so long, where nothing is said
 
 
+class Tally:
+    """A figure that halves each window, so that what it tells ages by itself."""
+
+    def __init__(self, now=0.0, value=0.0):
+        self.at, self.value = now, value
+
+    def read(self, now):
+        return self.value * 0.5 ** ((now - self.at) / WINDOW)
+
+    def add(self, now, what):
+        self.at, self.value = now, self.read(now) + what
+
+
 class Actor:
     def __init__(self, loop):
         self.loop, self.inbox = loop, deque()
@@ -124,8 +137,8 @@
         """A process that starts anew has an empty memory and a clean slate."""
         self.since, self.heard, self.strikes, self.shut, self.probing = since, 0.0, 0, 0.0, False
         self.sheds = self.silent = False
-        self.pace, self.crowd, self.full_at = None, 1.0, -1e18
-        self.sent_cold = deque()    # launch times while cold; they leave after the rule's window
+        self.pace, self.paced, self.crowd, self.full = None, 0.0, 1.0, Tally()
+        self.credit, self.credited = self.gate.chance(), self.gate.now      # of rule 4, while cold
 
     def listed(self, state, since):
         if since != self.since and state == io.READY:
@@ -139,13 +152,18 @@
         return min(1.0, deed.cold_from + (1 - deed.cold_from) * age)
 
     def room(self, now):
-        """Rule 4, by this gateway alone: a host's capacity is at least what a host handles now, so a cold
-        one gets at most its level's part of the multiple of that, less a margin for chance, of this gateway's
-        own traffic. All gateways doing so keep it. With little traffic so far it harms: one a window."""
+        """Rule 4, by this gateway alone: its part of what a warm host bears, times the cold one's level and the
+        rule's multiple, less a margin, is earned as time passes, and each launch costs one. What it has at
+        first is less than one and left to chance, so that the parts of many gateways add up to the whole
+        and no more. It harms where most of the traffic is this gateway's."""
         level = self.level(now)
-        self.gate.forget(self.sent_cold, self.gate.deed.fall)
-        spare = max(1.0, self.gate.deed.budget * level * self.gate.borne()) - len(self.sent_cold)
-        return level >= 1.0 or not self.gate.deed.fall or spare > 0
+        if level >= 1.0 or not self.gate.deed.fall:
+            return True
+        rate = self.gate.deed.budget * level * self.gate.borne()
+        most = max(1.0, rate * self.gate.deed.fall / 2)
+        self.credit = min(most, self.credit + rate * (now - self.credited))
+        self.credited = now
+        return self.credit >= 1.0
 
     def ready(self, now, part=0.0):
         """The one notion of ready, for this part (0 to 1) of its range; what fails it hands the range on.
@@ -162,19 +180,25 @@
     def wait(self, func):
         """The time that an event sent now is predicted to take, by its own answers and its own events out."""
         since = [t.sent if t.evt.func is func else max(t.sent, self.heard) for t in self.out if t.stood]
-        pace = max(self.pace or self.gate.pace, self.gate.now - min(since, default=self.gate.now))
+        pace = max(self.mean(), self.gate.now - min(since, default=self.gate.now))
         return pace * (len(self.out) + 1) / self.crowd
 
+    def mean(self):
+        """The host's mean answer time; what it told last ages towards the mean of all hosts."""
+        told = 0.0 if self.pace is None else 0.5 ** ((self.gate.now - self.paced) / (2 * WINDOW))
+        return self.gate.pace + told * ((self.pace or 0.0) - self.gate.pace)
+
     def sent(self, launch, now):
         self.out[launch] = now
         self.crowd += 0.1 * (max(1, len(self.out)) - self.crowd)
-        self.sent_cold.extend([now] * (self.level(now) < 1.0))
-        self.mark(now)
+        self.credit -= 1.0
 
-    def mark(self, now):
-        """T1 and T2. A full answer counts as T2."""
-        out, t2 = len(self.out), max(3.0, PATIENCE * self.gate.deed.target / self.gate.brisk)
-        self.sheds = out >= t2 or self.sheds and (out >= 0.6 * t2 or now - self.full_at <= SWEEP)
+    def busy(self):
+        """T1 and T2. A full answer counts as T2 and ages."""
+        t2 = max(3.0, PATIENCE * self.gate.deed.target / self.gate.brisk)
+        out = len(self.out) + self.full.read(self.gate.now) * t2
+        self.sheds = out >= t2 or self.sheds and out >= 0.6 * t2
+        return self.sheds
 
     def back(self, launch, note, now):
         self.out.pop(launch, None)
@@ -183,14 +207,14 @@
         if note.fate == io.HANDLED:
             self.strikes = 0
             if note.copy in (0, 1):
-                self.pace = 0.9 * (self.pace or note.took) + 0.1 * note.took
+                part = max(0.1, 1 - 0.5 ** ((now - self.paced) / (2 * WINDOW)))
+                self.pace, self.paced = (1 - part) * self.mean() + part * note.took, now
         elif note.fate == io.FULL and launch.stood:
-            self.full_at, self.sheds = now, True
+            self.full = Tally(now, 1.0)
         elif note.fate in (io.ERROR, io.LOST) and note.copy != 4:
             self.strike(1, now)
         elif note.fate == io.NO_CONNECTION or note.fate == io.NO_ANSWER and self.heard < launch.sent:
             self.strike(2, now)
-        self.mark(now)
 
     def strike(self, weight, now):
         """Bad fates in a row shut a host for a time that doubles: dead, cut off, failing, connections spent.
@@ -202,12 +226,11 @@
     def sweep(self, now):
         """Silence: launches out to standing copies and nothing heard shows a host that stalls or is cut off
         while listed as running. It is asked by a probe; without an answer its events are taken back."""
-        patience = max(250.0, 4 * (self.pace or self.gate.pace))
+        patience = max(250.0, 4 * self.mean())
         for launch, sent in self.out.items():
             since = max(sent, self.heard)
             loading = 0 if launch.stood else 3 * self.gate.load
             self.silent = self.silent or not launch.evt.streams and now - since > patience + loading
-        self.mark(now)
         ask = self.silent or self.strikes > 1 and self.shut <= now
         if ask and self.state == io.READY and not self.probing:
             self.probing = self.gate.deed.probes
@@ -215,7 +238,6 @@
                 self.gate.actions.append(io.Probe(self.id))
             elif self.silent:
                 self.probed(io.NO_ANSWER, now)
-        self.pace = self.pace and self.pace + 0.02 * (self.gate.pace - self.pace)
 
     def probed(self, fate, now):
         self.probing = False
@@ -250,8 +272,12 @@
     def heir(self, pos, fits):
         """The owner of this place in the id space, or the next ready one in order."""
         now, (part, first) = self.gate.now, modf(pos * len(self.slots))
-        first = int(first)
-        order = self.slots[first:] + self.slots[:first]
+        if not self.slots:
+            return None
+        host = self.slots[int(first)]
+        if host.ready(now, part) and fits(host):
+            return host
+        order = self.slots[int(first):] + self.slots[:int(first)]
         for bar in (part, 0.0):
             for host in order:
                 if host.ready(now, bar) and fits(host):
@@ -273,19 +299,19 @@
         hot = func.count >= max(gate.history.bar, BUSY * 2 * WINDOW / (gate.deed.gateways * gate.brisk))
         roomy = now - gate.tight > gate.deed.linger     # no host had no room lately: a copy more does no harm
         hot = hot and (roomy or second.holds(func, now))
-        pick = second if hot and (home.sheds or len(second.out) < len(home.out)) else home
+        pick = second if hot and (home.busy() or len(second.out) < len(home.out)) else home
         # Past the pair (both at T2, or predicted late): the fewest out in time where a copy stands.
         late = SURE * evt.clause.target
 
         def rank(host):
-            return host.sheds or host.wait(func) > late, len(host.out), host.wait(func), host.id
+            return host.busy() or host.wait(func) > late, len(host.out), host.wait(func), host.id
 
         stand = [h for h in func.copies if h.holds(func, now) and h.ready(now) and fits(h)]
-        if stand and (pick.sheds or pick.wait(func) > late):
+        if stand and (pick.busy() or pick.wait(func) > late):
             pick = min([pick, *stand], key=rank)
         if not pick.holds(func, now) and (gate.deed.orders or pick in func.opening):
             spare = min(stand, key=rank, default=None)
-            if spare and not spare.sheds:
+            if spare and not spare.busy():
                 return spare, pick  # nobody waits behind a load while a copy stands: one opens the new copy
         if pick.wait(func) > late and now > self.calm and roomy:
             pick = self.heir(func.home, lambda h: h.wait(func) < late / 2 and fits(h)) or pick
@@ -320,7 +346,8 @@
         self.load, self.strain, self.blind, self.tight, self.actions = 1000.0, 0.0, False, -1e18, []
         self.events, self.hosts = {}, {}        # dropped when over; dropped when gone and nothing is out
         self.history, self.zone, self.spent = History(self), Zone(self), {}     # spent by customer, halved
-        self.handled, self.ordered, self.taken = deque(), deque(), deque()  # times; windows of rules 4, 5
+        self.handled, self.ordered, self.taken = Tally(), deque(), deque()  # of rule 4; times of rule 5
+        self.answered = 0.0
 
     def start(self, now):
         self.now, self.next_window, self.actions = now, now + WINDOW, []
@@ -460,11 +487,12 @@
 
     def landed(self, evt, launch, note):
         if note.fate == io.HANDLED:
-            self.handled.append(self.now)
+            self.handled.add(self.now, 1.0)
             if note.crowd >= evt.lanes and note.copy == 1 and self.now - self.tight > self.deed.linger:
                 self.order(evt.func, launch.host, min(16, 1 + note.crowd // evt.lanes))     # short of lanes
             if note.copy in (0, 1):
-                self.pace += 0.02 * (note.took - self.pace)
+                part = max(0.02, 1 - 0.5 ** ((self.now - self.answered) / WINDOW))
+                self.pace, self.answered = self.pace + part * (note.took - self.pace), self.now
                 self.brisk *= 1.006 if note.took > self.brisk else 0.986
             self.load += 0.1 * (note.took - self.load) if note.copy == 2 else 0
         elif note.fate == io.FULL:
@@ -531,9 +559,9 @@
             times.popleft()
 
     def borne(self):
-        """Events that one warm host handles for this gateway in the cold rule's window."""
-        self.forget(self.handled, self.deed.fall)
-        return len(self.handled) / max(1, sum(h.state == io.READY for h in self.zone.slots))
+        """Events a ms that a warm host bears from this gateway: at least its part of one at a time."""
+        own = self.handled.read(self.now) / (1.44 * WINDOW * max(1, len(self.zone.slots)))
+        return max(own, 1 / (self.deed.gateways * self.pace))
 
     def beyond(self, party):
         """True for what a customer sends beyond an equal part of its share."""
@@ -543,21 +571,23 @@
     def sweep(self):
         now = self.now
         self.ring(SWEEP, "sweep")
-        self.borne()
         self.forget(self.taken, 0.99 * self.deed.ration[2])
-        running = [h for h in self.hosts.values() if h.state == io.READY]
-        for host in running:
-            host.post("sweep", now)
+        bad = 0
+        for host in self.hosts.values():
+            if (host.out or host.strikes) and host.state == io.READY:
+                host.post("sweep", now)
+                bad += host.silent or host.shut > now or host.probing
         # When most hosts look bad it is likelier this gateway's own sight: then none is held to be.
-        self.blind = sum(h.silent or h.shut > now or h.probing for h in running) * 2 > len(running)
-        self.hosts = {h.id: h for h in self.hosts.values()
-                      if h.state != io.GONE or h.out or h in self.zone.slots}
-        for func in self.history.functions.values():
-            for evt in [e for e in func.waiting if e.over or e.until - now < 2 * self.pace]:
-                func.waiting.remove(evt)
-                self.post("give_up", evt)
-        self.zone.post("relist", now)
+        self.blind = bad * 2 > sum(h.state == io.READY for h in self.zone.slots)
+        if self.deed.misses:
+            for func in self.history.functions.values():
+                for evt in [e for e in func.waiting if e.over or e.until - now < 2 * self.pace]:
+                    func.waiting.remove(evt)
+                    self.post("give_up", evt)
         if now >= self.next_window:
             self.next_window, self.strain = now + WINDOW, self.strain / 2
             self.spent = {party: n / 2 for party, n in self.spent.items() if n > 0.5}
             self.history.post("window", now)
+            self.hosts = {h.id: h for h in self.hosts.values()
+                          if h.state != io.GONE or h.out or h in self.zone.slots}
+            self.zone.post("relist", now)
