Pair goes by others' events too, second workers in groups, full queues are not short memory

Cause: at full size own events out say nothing of a host, each gateway opened a second worker of its own, and full answers of queues were taken for short memory, which barred all second workers. The crowd told in answers now tells others' events (ageing) and how many second workers a function has.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -17,6 +17,7 @@
 FEW = 8                 # how many functions are the most-called
 BUSY = 0.2              # and the least events of one at work at once, over all gateways, that make it one
 WINDOW = 2000           # counts halve each window
+ENOUGH = 64             # but only once they are of so many calls, or after eight windows
 SWEEP = 100             # how often hosts look at their own silence
 SURE = 0.75             # share of the target time that a predicted wait may fill, as predictions err
 WAITERS = 4             # own events that wait behind one load though it ends past the target time
@@ -74,27 +75,48 @@
     """A line of the History Table: the function's places, how much it is called, where copies stand."""
 
     def __init__(self, name, me):
-        self.name, self.count, self.open = name, 0.0, 0
-        self.home, self.second = (int.from_bytes(sha1(key.encode()).digest()[:8], "big") / 2.0**64
-                                  for key in (name, f"{name}/{me}"))
-        self.copies = {}        # host -> when a copy was last known to stand; History.window drops the old
+        self.name, self.me, self.count, self.open, self.home = name, me, 0.0, 0, self.place(name)
+        self.work, self.worked, self.lanes, self.groups = 0.0, 0.0, 1, 1
+        self.copies = {}        # host -> others' events there when last heard; History.window drops the old
         self.opening = {}       # host -> since when a load begun by this gateway is waited for
         self.refused = {}       # host -> until when it is held to have no room for a copy
         self.waiting = []       # events that wait for an order (hosts that miss)
 
+    def place(self, key):
+        return int.from_bytes(sha1(key.encode()).digest()[:8], "big") / 2.0**64
+
+    def second(self):
+        """Hashed from function and gateway number, folded to as many groups as the work at once calls for."""
+        return self.place(f"{self.name}/{self.me % self.groups}")
+
+    def told(self, host, crowd, now):
+        """The crowd in answers tells the work at once of all gateways, of which own calls tell little: what
+        one of its hosts holds, times its hosts. A group for each half of a copy's lanes."""
+        self.copies[host] = Tally(now, crowd)
+        part = max(0.2, 1 - 0.5 ** ((now - self.worked) / WINDOW))
+        self.work, self.worked = self.work + part * (crowd * (1 + self.groups) - self.work), now
+        need = 2 * self.work / self.lanes
+        while self.groups < need:
+            self.groups *= 2
+        if need < self.groups / 4 and self.groups > 1:
+            self.groups //= 2
+
 
 class History(Actor):
     """The History Table: own traffic alone. Each window halves it and drops what is no longer called."""
 
     def __init__(self, gate):
         super().__init__(gate.loop)
-        self.gate, self.functions, self.bar, self.calls = gate, {}, 0.0, 0.0
+        self.gate, self.functions, self.bar, self.calls = gate, {}, 0.0, 0
+        self.halved, self.span = gate.now, WINDOW
 
     def window(self, now):
-        self.calls /= 2
+        halve = self.calls >= ENOUGH or now - self.halved >= 8 * WINDOW
+        if halve:
+            self.calls, self.halved, self.span = 0, now, now - self.halved
         for func in list(self.functions.values()):
-            func.count /= 2
-            func.copies = {h: t for h, t in func.copies.items() if h.holds(func, now)}
+            func.count /= 2 if halve else 1
+            func.copies = {h: seen for h, seen in func.copies.items() if h.holds(func, now)}
             func.opening = {h: t for h, t in func.opening.items() if now - t < 4 * self.gate.load}
             func.refused = {h: t for h, t in func.refused.items() if t > now}
             if func.count < 0.5 and not func.open:
@@ -102,13 +124,18 @@
         most = sorted((f.count for f in self.functions.values()), reverse=True)[:FEW]
         self.bar = most[-1] if len(most) == FEW else 0.0
 
+    def work(self, func):
+        """The work at once of all gateways, by answers or by own calls beyond what may be chance."""
+        sure = max(0.0, func.count - 2 * func.count ** 0.5) / (2 * self.span)
+        return max(func.work, sure * self.gate.deed.gateways * self.gate.brisk)
+
     def called(self, func):
         func.count, self.calls = func.count + 1, self.calls + 1
 
     def opens(self, func, host):
         func.opening.setdefault(host, self.gate.now)
 
-    def tells(self, func, host, fate, copy, stood):
+    def tells(self, func, host, fate, copy, stood, crowd):
         """A load where a copy was known to stand means that the function was released anew or its copies
         were swept out: no other copy is believed in until it answers again."""
         now = self.gate.now
@@ -117,8 +144,10 @@
         if fate == io.HANDLED:
             if copy == 2 and stood:
                 func.copies = {}
-            func.copies[host] = now
-        elif fate == io.FULL and not stood:
+            func.told(host, crowd, now)
+        elif fate == io.FULL and stood:
+            func.told(host, crowd, now)
+        elif fate == io.FULL:
             func.refused[host], self.gate.tight = now + self.gate.load, now
         elif fate in (io.MISSING, io.NO_CONNECTION, io.LOST):
             func.copies.pop(host, None)
@@ -152,10 +181,10 @@
         return min(1.0, deed.cold_from + (1 - deed.cold_from) * age)
 
     def room(self, now):
-        """Rule 4, by this gateway alone: its part of what a warm host bears, times the cold one's level and the
-        rule's multiple, less a margin, is earned as time passes, and each launch costs one. What it has at
-        first is less than one and left to chance, so that the parts of many gateways add up to the whole
-        and no more. It harms where most of the traffic is this gateway's."""
+        """Rule 4, by this gateway alone: its part of what a warm host bears, times the cold one's level and
+        the rule's multiple, less a margin, is earned with time, and each launch costs one. It starts with
+        less than one, by chance, so that the parts of many gateways add up to no more than the whole.
+        It harms where most of the traffic is this gateway's."""
         level = self.level(now)
         if level >= 1.0 or not self.gate.deed.fall:
             return True
@@ -175,7 +204,12 @@
 
     def holds(self, func, now):
         seen = func.copies.get(self)
-        return seen is not None and seen > self.since and now - seen < self.gate.deed.linger
+        return seen is not None and seen.at > self.since and now - seen.at < self.gate.deed.linger
+
+    def load(self, func):
+        """Own events out here, and those of others that were seen with the function, which age."""
+        seen = func.copies.get(self)
+        return len(self.out) + (seen.read(self.gate.now) if seen else 0.0)
 
     def wait(self, func):
         """The time that an event sent now is predicted to take, by its own answers and its own events out."""
@@ -295,16 +329,16 @@
         home = self.heir(func.home, fits)
         if home is None:
             return None, None
-        second = self.heir(func.second, lambda h: h is not home and fits(h)) or home
-        hot = func.count >= max(gate.history.bar, BUSY * 2 * WINDOW / (gate.deed.gateways * gate.brisk))
+        second = self.heir(func.second(), lambda h: h is not home and fits(h)) or home
+        hot = func.count >= gate.history.bar and gate.history.work(func) >= BUSY
         roomy = now - gate.tight > gate.deed.linger     # no host had no room lately: a copy more does no harm
         hot = hot and (roomy or second.holds(func, now))
-        pick = second if hot and (home.busy() or len(second.out) < len(home.out)) else home
+        pick = second if hot and (home.busy() or second.load(func) < home.load(func)) else home
         # Past the pair (both at T2, or predicted late): the fewest out in time where a copy stands.
         late = SURE * evt.clause.target
 
         def rank(host):
-            return host.busy() or host.wait(func) > late, len(host.out), host.wait(func), host.id
+            return host.busy() or host.wait(func) > late, host.load(func), host.wait(func), host.id
 
         stand = [h for h in func.copies if h.holds(func, now) and h.ready(now) and fits(h)]
         if stand and (pick.busy() or pick.wait(func) > late):
@@ -343,7 +377,8 @@
         super().__init__(deque())
         self.deed, self.seed, self.drawn, self.now = Deed(lease), lease.seed, 0, 0.0
         self.pace, self.brisk = self.deed.target / 4, self.deed.target / 10   # mean, and three in ten quicker
-        self.load, self.strain, self.blind, self.tight, self.actions = 1000.0, 0.0, False, -1e18, []
+        self.load, self.blind, self.tight, self.actions = 1000.0, False, -1e18, []
+        self.strain, self.calls = Tally(), Tally()
         self.events, self.hosts = {}, {}        # dropped when over; dropped when gone and nothing is out
         self.history, self.zone, self.spent = History(self), Zone(self), {}     # spent by customer, halved
         self.handled, self.ordered, self.taken = Tally(), deque(), deque()  # of rule 4; times of rule 5
@@ -390,7 +425,8 @@
         func = self.history.functions[name] = self.history.functions.get(name) or Function(name, self.deed.me)
         evt = Event(note, self.deed.clauses[note.clause], func, self.beyond(note.party))
         self.events[evt.id] = evt
-        func.open += 1
+        func.open, func.lanes = func.open + 1, evt.lanes
+        self.calls.add(self.now, 1.0)
         if self.deed.ration[2]:
             self.taken.append(self.now)
         self.history.post("called", func)
@@ -405,8 +441,10 @@
         if evt is not None:
             launch = evt.tries[note.launch]
             launch.fate = note.fate
+            if note.fate == io.FULL and (note.crowd or launch.host.full.read(self.now) > 0.25):
+                launch.stood = True         # its queue is full, not its memory
             launch.host.post("back", launch, note, self.now)
-            self.history.post("tells", evt.func, launch.host, note.fate, note.copy, launch.stood)
+            self.history.post("tells", evt.func, launch.host, note.fate, note.copy, launch.stood, note.crowd)
             self.post("landed", evt, launch, note)
 
     def clientleft(self, note):
@@ -427,7 +465,7 @@
         if not func or not host:
             return
         stood = note.fate == io.HANDLED and note.copies > 0
-        self.history.post("tells", func, host, note.fate, 0, False)
+        self.history.post("tells", func, host, note.fate, 0, False, 0)
         while func.waiting:
             self.post("route" if stood else "give_up", func.waiting.pop(0))
 
@@ -440,7 +478,7 @@
             self.order(evt.func, open_at)
         if host is not None and (evt.tries or self.in_time(evt, host)):
             return self.launch(evt, host)
-        self.strain += host is not None
+        self.strain.add(self.now, float(host is not None))
         self.give_up(evt)
 
     def in_time(self, evt, host):
@@ -456,7 +494,7 @@
         return wait <= min(SURE * evt.clause.target, evt.until - self.now) or not host.out
 
     def overloaded(self):
-        return self.strain > 2 + 0.1 * self.history.calls
+        return self.strain.read(self.now) > 2 + 0.1 * self.calls.read(self.now)
 
     def may(self, evt, host):
         """The gate: what the rules say of a launch of this event to this host now."""
@@ -496,7 +534,7 @@
                 self.brisk *= 1.006 if note.took > self.brisk else 0.986
             self.load += 0.1 * (note.took - self.load) if note.copy == 2 else 0
         elif note.fate == io.FULL:
-            self.strain += launch.stood
+            self.strain.add(self.now, float(launch.stood))
         elif note.fate == io.NO_ANSWER and not launch.stood:
             self.load += 0.1 * max(0.0, note.took - self.load)
         evt.over = evt.over or note.over
@@ -585,7 +623,7 @@
                     func.waiting.remove(evt)
                     self.post("give_up", evt)
         if now >= self.next_window:
-            self.next_window, self.strain = now + WINDOW, self.strain / 2
+            self.next_window = now + WINDOW
             self.spent = {party: n / 2 for party, n in self.spent.items() if n > 0.5}
             self.history.post("window", now)
             self.hosts = {h.id: h for h in self.hosts.values()
