--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -148,7 +148,7 @@
         elif fate == io.FULL and stood:
             func.told(host, crowd, now)
         elif fate == io.FULL:
-            func.refused[host], self.gate.tight = now + self.gate.load, now
+            func.refused[host], host.tight = now + self.gate.load, now
         elif fate in (io.MISSING, io.NO_CONNECTION, io.LOST):
             func.copies.pop(host, None)
 
@@ -167,6 +167,7 @@
         self.since, self.heard, self.strikes, self.shut, self.probing = since, 0.0, 0, 0.0, False
         self.sheds = self.silent = False
         self.pace, self.paced, self.crowd, self.full = None, 0.0, 1.0, Tally()
+        self.tight = -1e18          # when it last had no room for a copy
         self.credit, self.credited = self.gate.chance(), self.gate.now      # of rule 4, while cold
 
     def listed(self, state, since):
@@ -206,6 +207,9 @@
         seen = func.copies.get(self)
         return seen is not None and seen.at > self.since and now - seen.at < self.gate.deed.linger
 
+    def roomy(self):
+        return self.gate.now - self.tight > self.gate.deed.linger
+
     def load(self, func):
         """Own events out here, and those of others that were seen with the function, which age."""
         seen = func.copies.get(self)
@@ -331,8 +335,7 @@
             return None, None
         second = self.heir(func.second(), lambda h: h is not home and fits(h)) or home
         hot = func.count >= gate.history.bar and gate.history.work(func) >= BUSY
-        roomy = now - gate.tight > gate.deed.linger     # no host had no room lately: a copy more does no harm
-        hot = hot and (roomy or second.holds(func, now))
+        hot = hot and (second.roomy() or second.holds(func, now))
         pick = second if hot and (home.busy() or second.load(func) < home.load(func)) else home
         # Past the pair (both at T2, or predicted late): the fewest out in time where a copy stands.
         late = SURE * evt.clause.target
@@ -347,8 +350,8 @@
             spare = min(stand, key=rank, default=None)
             if spare and not spare.busy():
                 return spare, pick  # nobody waits behind a load while a copy stands: one opens the new copy
-        if pick.wait(func) > late and now > self.calm and roomy:
-            pick = self.heir(func.home, lambda h: h.wait(func) < late / 2 and fits(h)) or pick
+        if pick.wait(func) > late and now > self.calm:
+            pick = self.heir(func.home, lambda h: h.wait(func) < late / 2 and h.roomy() and fits(h)) or pick
             self.calm = now + gate.load
         return pick, None
 
@@ -377,7 +380,7 @@
         super().__init__(deque())
         self.deed, self.seed, self.drawn, self.now = Deed(lease), lease.seed, 0, 0.0
         self.pace, self.brisk = self.deed.target / 4, self.deed.target / 10   # mean, and three in ten quicker
-        self.load, self.blind, self.tight, self.actions = 1000.0, False, -1e18, []
+        self.load, self.blind, self.actions = 1000.0, False, []
         self.strain, self.calls = Tally(), Tally()
         self.events, self.hosts = {}, {}        # dropped when over; dropped when gone and nothing is out
         self.history, self.zone, self.spent = History(self), Zone(self), {}     # spent by customer, halved
@@ -526,7 +529,7 @@
     def landed(self, evt, launch, note):
         if note.fate == io.HANDLED:
             self.handled.add(self.now, 1.0)
-            if note.crowd >= evt.lanes and note.copy == 1 and self.now - self.tight > self.deed.linger:
+            if note.crowd >= evt.lanes and note.copy == 1 and launch.host.roomy():
                 self.order(evt.func, launch.host, min(16, 1 + note.crowd // evt.lanes))     # short of lanes
             if note.copy in (0, 1):
                 part = max(0.02, 1 - 0.5 ** ((self.now - self.answered) / WINDOW))
