--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -18,6 +18,7 @@
 BUSY = 0.2              # and the least events of one at work at once, over all gateways, that make it one
 WINDOW = 2000           # counts halve each window
 ENOUGH = 64             # but only once they are of so many calls, or after eight windows
+OTHERS = 2              # others' events at a host, held to be there whenever own ones are compared to the usual
 SWEEP = 100             # how often hosts look at their own silence
 SURE = 0.75             # share of the target time that a predicted wait may fill, as predictions err
 WAITERS = 4             # own events that wait behind one load though it ends past the target time
@@ -219,7 +220,7 @@
         """The time that an event sent now is predicted to take, by its own answers and its own events out."""
         since = [t.sent if t.evt.func is func else max(t.sent, self.heard) for t in self.out if t.stood]
         pace = max(self.mean(), self.gate.now - min(since, default=self.gate.now))
-        return pace * (len(self.out) + 1) / self.crowd
+        return pace * (len(self.out) + 1 + OTHERS) / (self.crowd + OTHERS)
 
     def mean(self):
         """The host's mean answer time; what it told last ages towards the mean of all hosts."""
