--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -538,7 +538,7 @@
                 self.brisk *= 1.006 if note.took > self.brisk else 0.986
             self.load += 0.1 * (note.took - self.load) if note.copy == 2 else 0
         elif note.fate == io.FULL:
-            self.strain.add(self.now, float(launch.stood and len(evt.tries) > 1))
+            self.strain.add(self.now, float(launch.stood))
         elif note.fate == io.NO_ANSWER and not launch.stood:
             self.load += 0.1 * max(0.0, note.took - self.load)
         evt.over = evt.over or note.over
