--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -202,7 +202,6 @@
         if self.state != io.READY or part > self.level(now) or not self.room(now):
             return False
         bad = self.silent or self.shut > now or self.probing or self.strikes > 1 and self.out
-        bad = bad or self.mean() > max(SURE * self.gate.deed.target, 2 * self.gate.pace)
         return self.gate.blind or not bad
 
     def holds(self, func, now):
