An event predicted late is taken only as a trial, one at a time from all gateways

Cause: a host with nothing of this gateway out was always tried, which at full size is every host, so overload was answered late.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -168,6 +168,7 @@
         self.since, self.heard, self.strikes, self.shut, self.probing = since, 0.0, 0, 0.0, False
         self.sheds = self.silent = False
         self.pace, self.paced, self.crowd, self.full = None, 0.0, 1.0, Tally()
+        self.tried = self.gate.now - self.gate.chance() * self.gate.deed.gateways * self.gate.pace
         self.tight = -1e18          # when it last had no room for a copy
         self.credit, self.credited = self.gate.chance(), self.gate.now      # of rule 4, while cold
 
@@ -228,7 +229,7 @@
         return self.gate.pace + told * ((self.pace or 0.0) - self.gate.pace)
 
     def sent(self, launch, now):
-        self.out[launch] = now
+        self.out[launch] = self.tried = now
         self.crowd += 0.1 * (max(1, len(self.out)) - self.crowd)
         self.credit -= 1.0
 
@@ -495,7 +496,9 @@
             wait += max(self.load + begun - self.now, self.now - begun)
             few = sum(t.evt.func is evt.func for t in host.out) < WAITERS
             return wait <= (evt.until - self.now if few else evt.clause.target)
-        return wait <= min(SURE * evt.clause.target, evt.until - self.now) or not host.out
+        # One at a time from all gateways goes to a host though it seems late, to see whether it still is.
+        stale = self.now - max(host.paced, host.tried) > self.deed.gateways * self.pace
+        return wait <= min(SURE * evt.clause.target, evt.until - self.now) or not host.out and stale
 
     def overloaded(self):
         return self.strain.read(self.now) > 2 + 0.1 * self.calls.read(self.now)
