Pair goes by all events held at a host; overload by customer; full answers count as a wait

Causes: a home is full of other functions' events too; a customer's repeats were overload for all; what left unanswered taught nothing; a host just found full was launched at again.

--- a/cherrydoor/adapter/wire.py
+++ b/cherrydoor/adapter/wire.py
@@ -91,7 +91,17 @@
 def done(v):
     info = 0 if v[6] == "-" else int(v[6])
     return io.Outcome(int(v[0]), int(v[2]), word(FATES, v[3]), flag(v[4]), v[5], ms(v[1]),
-                      info % 8, info // 8)
+                      info % 8, info // 8, held(v[7]))
+
+
+def held(text):
+    """The events in hand out of a load report.
+
+    >>> held("util:0.5,inflight:3.5"), held("-")
+    (3.5, None)
+    """
+    told = dict(pair.split(":", 1) for pair in text.split(",") if ":" in pair)
+    return float(told["inflight"]) if "inflight" in told else None
 
 
 # What comes in for an instance: how many values its line has at least, and how they are read.
--- a/cherrydoor/interface.py
+++ b/cherrydoor/interface.py
@@ -98,6 +98,7 @@
     took: float
     copy: int = 0               # 1 a copy stood, 2 it began a load, 3 it waited for one, 4 the load failed
     crowd: int = 0              # events of the same function that the host held
+    held: float | None = None   # events that the host held in all, by its last report; None where not told
 
 
 class ClientLeft(NamedTuple):
--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -40,6 +40,17 @@
         self.at, self.value = now, self.read(now) + what
 
 
+class Mean:
+    """A mean of what is told: the longer nothing was, the more the next figure counts."""
+
+    def __init__(self, value, least):
+        self.value, self.least, self.at = value, least, 0.0
+
+    def tell(self, now, figure):
+        part = max(self.least, 1 - 0.5 ** ((now - self.at) / WINDOW))
+        self.value, self.at = self.value + part * (figure - self.value), now
+
+
 class Actor:
     def __init__(self, loop):
         self.loop, self.inbox = loop, deque()
@@ -49,6 +60,21 @@
         self.loop.append(self)
 
 
+class Customer:
+    """What one customer calls here, and what of that was not taken or met full hosts in a row; both age.
+    Kept apart, so that the repeats of one customer's clients are not overload for the others."""
+
+    def __init__(self, part=1.0):
+        self.part, self.calls, self.strain = part, Tally(), Tally()
+
+    def overloaded(self, now):
+        return self.strain.read(now) > 2 + 0.1 * self.calls.read(now)
+
+    def beyond(self, now):
+        """True for what is sent beyond an equal part of its share."""
+        return self.calls.read(now) > 2 * WINDOW * self.part
+
+
 class Try:
     """One launch of an event: fate is None while it is out; stood tells if a copy was known to stand."""
 
@@ -60,10 +86,9 @@
 class Event:
     """An event taken; Gateway.events drops it once it is over and no launch is out."""
 
-    def __init__(self, arrival, clause, func, beyond):
+    def __init__(self, arrival, clause, func, customer):
         self.id, self.clause, self.func, self.until = arrival.event, clause, func, arrival.until
-        self.beyond, self.tries, self.over, self.streams = beyond, [], False, False
-        self.lanes = max(1, int(arrival.lanes))
+        self.customer, self.tries, self.over, self.streams = customer, [], False, False
 
     def out(self):
         return [t for t in self.tries if t.fate is None]
@@ -77,7 +102,7 @@
 
     def __init__(self, name, me):
         self.name, self.me, self.count, self.open, self.home = name, me, 0.0, 0, self.place(name)
-        self.work, self.worked, self.lanes, self.groups = 0.0, 0.0, 1, 1
+        self.work, self.lanes, self.groups = Mean(0.0, 0.2), 1, 1
         self.copies = {}        # host -> others' events there when last heard; History.window drops the old
         self.opening = {}       # host -> since when a load begun by this gateway is waited for
         self.refused = {}       # host -> until when it is held to have no room for a copy
@@ -94,9 +119,8 @@
         """The crowd in answers tells the work at once of all gateways, of which own calls tell little: what
         one of its hosts holds, times its hosts. A group for each half of a copy's lanes."""
         self.copies[host] = Tally(now, crowd)
-        part = max(0.2, 1 - 0.5 ** ((now - self.worked) / WINDOW))
-        self.work, self.worked = self.work + part * (crowd * (1 + self.groups) - self.work), now
-        need = 2 * self.work / self.lanes
+        self.work.tell(now, crowd * (1 + self.groups))
+        need = 2 * self.work.value / self.lanes
         while self.groups < need:
             self.groups *= 2
         if need < self.groups / 4 and self.groups > 1:
@@ -125,10 +149,10 @@
         most = sorted((f.count for f in self.functions.values()), reverse=True)[:FEW]
         self.bar = most[-1] if len(most) == FEW else 0.0
 
-    def work(self, func):
-        """The work at once of all gateways, by answers or by own calls beyond what may be chance."""
-        sure = max(0.0, func.count - 2 * func.count ** 0.5) / (2 * self.span)
-        return max(func.work, sure * self.gate.deed.gateways * self.gate.brisk)
+    def hot(self, func):
+        """Most-called here, and with work at once, by answers or by own calls beyond what may be chance."""
+        sure = (func.count - 2 * func.count ** 0.5) / (2 * self.span) * self.gate.deed.gateways * self.gate.brisk
+        return func.count >= self.bar and max(func.work.value, sure) >= BUSY
 
     def called(self, func):
         func.count, self.calls = func.count + 1, self.calls + 1
@@ -166,9 +190,10 @@
     def reset(self, since):
         """A process that starts anew has an empty memory and a clean slate."""
         self.since, self.heard, self.strikes, self.shut, self.probing = since, 0.0, 0, 0.0, False
-        self.sheds = self.silent = False
-        self.pace, self.paced, self.crowd, self.full = None, 0.0, 1.0, Tally()
-        self.tried = self.gate.now - self.gate.chance() * self.gate.deed.gateways * self.gate.pace
+        self.sheds = False
+        self.others = Tally()       # events of other gateways here, as answers tell
+        self.pace, self.crowd, self.full = Mean(0.0, 0.1), 1.0, Tally()
+        self.tried = self.gate.now - self.gate.chance() * self.gate.deed.gateways * self.gate.pace.value
         self.tight = -1e18          # when it last had no room for a copy
         self.credit, self.credited = self.gate.chance(), self.gate.now      # of rule 4, while cold
 
@@ -202,7 +227,7 @@
         A cold host takes its range back bit by bit as it warms, the same bits at every gateway."""
         if self.state != io.READY or part > self.level(now) or not self.room(now):
             return False
-        bad = self.silent or self.shut > now or self.probing or self.strikes > 1 and self.out
+        bad = self.shut > now or self.probing or self.strikes > 1 and self.out
         return self.gate.blind or not bad
 
     def holds(self, func, now):
@@ -212,21 +237,21 @@
     def roomy(self):
         return self.gate.now - self.tight > self.gate.deed.linger
 
-    def load(self, func):
-        """Own events out here, and those of others that were seen with the function, which age."""
-        seen = func.copies.get(self)
-        return len(self.out) + (seen.read(self.gate.now) if seen else 0.0)
+    def load(self):
+        """Own events out here and, as far as they were told and have not aged away, those of others."""
+        return len(self.out) + round(self.others.read(self.gate.now), 1)
 
     def wait(self, func):
         """The time that an event sent now is predicted to take, by its own answers and its own events out."""
         since = [t.sent if t.evt.func is func else max(t.sent, self.heard) for t in self.out if t.stood]
-        pace = max(self.mean(), self.gate.now - min(since, default=self.gate.now))
+        pace = max(self.mean(), self.gate.now - min(since, default=self.gate.now),
+                   self.gate.deed.target * self.full.read(self.gate.now))
         return pace * (len(self.out) + 1 + OTHERS) / (self.crowd + OTHERS)
 
     def mean(self):
         """The host's mean answer time; what it told last ages towards the mean of all hosts."""
-        told = 0.0 if self.pace is None else 0.5 ** ((self.gate.now - self.paced) / (2 * WINDOW))
-        return self.gate.pace + told * ((self.pace or 0.0) - self.gate.pace)
+        told = 0.5 ** ((self.gate.now - self.pace.at) / (2 * WINDOW))
+        return self.gate.pace.value + told * (self.pace.value - self.gate.pace.value)
 
     def sent(self, launch, now):
         self.out[launch] = self.tried = now
@@ -243,14 +268,20 @@
     def back(self, launch, note, now):
         self.out.pop(launch, None)
         if note.fate in (io.HANDLED, io.FULL, io.ERROR, io.MISSING):
-            self.heard, self.silent = now, False
+            self.heard = now
+        if note.fate in (io.HANDLED, io.FULL):
+            held = max(self.others.read(now), note.crowd) if note.held is None else note.held
+            self.others = Tally(now, max(0.0, held - len(self.out)))
         if note.fate == io.HANDLED:
             self.strikes = 0
             if note.copy in (0, 1):
-                part = max(0.1, 1 - 0.5 ** ((now - self.paced) / (2 * WINDOW)))
-                self.pace, self.paced = (1 - part) * self.mean() + part * note.took, now
+                self.pace.value = self.mean()
+                self.pace.tell(now, note.took)
         elif note.fate == io.FULL and launch.stood:
             self.full = Tally(now, 1.0)
+        elif note.fate in (io.NO_ANSWER, io.RECALLED) and launch.stood and note.took > self.mean():
+            self.pace.value = self.mean()       # who left unanswered tells that answers take at least so long
+            self.pace.tell(now, note.took)
         elif note.fate in (io.ERROR, io.LOST) and note.copy != 4:
             self.strike(1, now)
         elif note.fate == io.NO_CONNECTION or note.fate == io.NO_ANSWER and self.heard < launch.sent:
@@ -267,25 +298,21 @@
         """Silence: launches out to standing copies and nothing heard shows a host that stalls or is cut off
         while listed as running. It is asked by a probe; without an answer its events are taken back."""
         patience = max(250.0, 4 * self.mean())
-        for launch, sent in self.out.items():
-            since = max(sent, self.heard)
-            loading = 0 if launch.stood else 3 * self.gate.load
-            self.silent = self.silent or not launch.evt.streams and now - since > patience + loading
-        ask = self.silent or self.strikes > 1 and self.shut <= now
-        if ask and self.state == io.READY and not self.probing:
+        silent = any(now - max(sent, self.heard) > patience + (0 if launch.stood else 3 * self.gate.load)
+                     for launch, sent in self.out.items() if not launch.evt.streams)
+        if not self.probing and (silent or self.strikes > 1 and self.shut <= now):
             self.probing = self.gate.deed.probes
             if self.probing:
                 self.gate.actions.append(io.Probe(self.id))
-            elif self.silent:
+            elif silent:
                 self.probed(io.NO_ANSWER, now)
 
     def probed(self, fate, now):
         self.probing = False
         if fate == io.HANDLED:
-            self.heard, self.silent, self.strikes, self.shut = now, False, 0, 0.0
+            self.heard, self.strikes, self.shut = now, 0, 0.0
         elif fate != io.FULL:
             self.strike(2, now)
-            self.silent = False
             for launch in self.out:
                 self.gate.post("take_back", launch)
 
@@ -312,17 +339,12 @@
     def heir(self, pos, fits):
         """The owner of this place in the id space, or the next ready one in order."""
         now, (part, first) = self.gate.now, modf(pos * len(self.slots))
-        if not self.slots:
-            return None
-        host = self.slots[int(first)]
-        if host.ready(now, part) and fits(host):
-            return host
-        order = self.slots[int(first):] + self.slots[:int(first)]
-        for bar in (part, 0.0):
-            for host in order:
-                if host.ready(now, bar) and fits(host):
+        for bar in (part, 0.0, None):       # None: not ready, but at least not shut
+            for i in range(len(self.slots)):
+                host = self.slots[(int(first) + i) % len(self.slots)]
+                if (host.shut <= now if bar is None else host.ready(now, bar)) and fits(host):
                     return host
-        return next((h for h in order if h.shut <= now and fits(h)), next(filter(fits, order), None))
+        return None
 
     def choose(self, evt):
         """The design's path, then its exceptions: the host, and one to order a copy at, if any."""
@@ -336,14 +358,13 @@
         if home is None:
             return None, None
         second = self.heir(func.second(), lambda h: h is not home and fits(h)) or home
-        hot = func.count >= gate.history.bar and gate.history.work(func) >= BUSY
-        hot = hot and (second.roomy() or second.holds(func, now))
-        pick = second if hot and (home.busy() or second.load(func) < home.load(func)) else home
+        hot = gate.history.hot(func) and (second.roomy() or second.holds(func, now))
+        pick = second if hot and (home.busy() or second.load() < home.load()) else home
         # Past the pair (both at T2, or predicted late): the fewest out in time where a copy stands.
         late = SURE * evt.clause.target
 
         def rank(host):
-            return host.busy() or host.wait(func) > late, host.load(func), host.wait(func), host.id
+            return host.busy() or host.wait(func) > late, host.load(), host.wait(func), host.id
 
         stand = [h for h in func.copies if h.holds(func, now) and h.ready(now) and fits(h)]
         if stand and (pick.busy() or pick.wait(func) > late):
@@ -362,17 +383,15 @@
     """The few figures that decisions use, drawn from the lease."""
 
     def __init__(self, lease):
-        self.me, self.asks, self.twice, self.probes = lease.me, lease.asks, lease.twice, lease.probes
-        self.launches, self.recalls, self.gateways = (
-            min(lease.launches, 1 + FURTHER), lease.recalls, lease.gateways)
-        self.cold_from, self.cold, self.fall, self.advice = (
-            lease.cold_from, lease.cold, lease.fall, lease.advice)
+        self.me, self.gateways, self.asks, self.twice = lease.me, lease.gateways, lease.asks, lease.twice
+        self.launches, self.recalls, self.probes = min(lease.launches, 1 + FURTHER), lease.recalls, lease.probes
+        self.cold_from, self.cold, self.fall, self.advice = lease.cold_from, lease.cold, lease.fall, lease.advice
         self.budget = 0.6 * lease.fall_multiple     # of rule 4, less a margin for chance
         self.linger, self.orders, self.misses = lease.linger or LINGER, lease.orders, lease.misses
         self.ration = (lease.loads_free, lease.loads_share, lease.loads_within)
         self.target = min(c.target for c in lease.clauses)
         self.clauses = {c.name: c for c in lease.clauses}
-        self.parts = {p.name: p.per_second / lease.gateways / 1000 for p in lease.parties}
+        self.customers = {p.name: Customer(p.per_second / lease.gateways / 1000) for p in lease.parties}
 
 
 class Gateway(Actor):
@@ -381,13 +400,11 @@
     def __init__(self, lease):
         super().__init__(deque())
         self.deed, self.seed, self.drawn, self.now = Deed(lease), lease.seed, 0, 0.0
-        self.pace, self.brisk = self.deed.target / 4, self.deed.target / 10   # mean, and three in ten quicker
+        self.pace, self.brisk = Mean(self.deed.target / 4, 0.02), self.deed.target / 10     # three in ten quicker
         self.load, self.blind, self.actions = 1000.0, False, []
-        self.strain, self.calls = Tally(), Tally()
         self.events, self.hosts = {}, {}        # dropped when over; dropped when gone and nothing is out
-        self.history, self.zone, self.spent = History(self), Zone(self), {}     # spent by customer, halved
+        self.history, self.zone, self.others = History(self), Zone(self), Customer()
         self.handled, self.ordered, self.taken = Tally(), deque(), deque()  # of rule 4; times of rule 5
-        self.answered = 0.0
 
     def start(self, now):
         self.now, self.next_window, self.actions = now, now + WINDOW, []
@@ -428,10 +445,10 @@
     def arrival(self, note):
         name = note.function
         func = self.history.functions[name] = self.history.functions.get(name) or Function(name, self.deed.me)
-        evt = Event(note, self.deed.clauses[note.clause], func, self.beyond(note.party))
+        evt = Event(note, self.deed.clauses[note.clause], func, self.deed.customers.get(note.party, self.others))
         self.events[evt.id] = evt
-        func.open, func.lanes = func.open + 1, evt.lanes
-        self.calls.add(self.now, 1.0)
+        func.open, func.lanes = func.open + 1, max(1, int(note.lanes))
+        evt.customer.calls.add(self.now, 1.0)
         if self.deed.ration[2]:
             self.taken.append(self.now)
         self.history.post("called", func)
@@ -483,26 +500,23 @@
             self.order(evt.func, open_at)
         if host is not None and (evt.tries or self.in_time(evt, host)):
             return self.launch(evt, host)
-        self.strain.add(self.now, float(host is not None))
+        evt.customer.strain.add(self.now, float(host is not None))
         self.give_up(evt)
 
     def in_time(self, evt, host):
         """Overload of any cause shows in the wait that a host's own answers predict. What is beyond its
         customer's share yields at half of it."""
         wait, begun = host.wait(evt.func), evt.func.opening.get(host)
-        wait *= 2 if evt.beyond and self.overloaded() else 1
+        wait *= 2 if evt.customer.beyond(self.now) and evt.customer.overloaded(self.now) else 1
         if begun is not None and not host.holds(evt.func, self.now):
             # Behind a load: it is held to go on as long again; past the target time only a few wait there.
             wait += max(self.load + begun - self.now, self.now - begun)
             few = sum(t.evt.func is evt.func for t in host.out) < WAITERS
             return wait <= (evt.until - self.now if few else evt.clause.target)
         # One at a time from all gateways goes to a host though it seems late, to see whether it still is.
-        stale = self.now - max(host.paced, host.tried) > self.deed.gateways * self.pace
+        stale = self.now - max(host.pace.at, host.tried) > self.deed.gateways * self.pace.value
         return wait <= min(SURE * evt.clause.target, evt.until - self.now) or not host.out and stale
 
-    def overloaded(self):
-        return self.strain.read(self.now) > 2 + 0.1 * self.calls.read(self.now)
-
     def may(self, evt, host):
         """The gate: what the rules say of a launch of this event to this host now."""
         if evt.over or evt.streams or self.now >= evt.until or len(evt.tries) >= self.deed.launches:
@@ -533,15 +547,12 @@
     def landed(self, evt, launch, note):
         if note.fate == io.HANDLED:
             self.handled.add(self.now, 1.0)
-            if note.crowd >= evt.lanes and note.copy == 1 and launch.host.roomy():
-                self.order(evt.func, launch.host, min(16, 1 + note.crowd // evt.lanes))     # short of lanes
             if note.copy in (0, 1):
-                part = max(0.02, 1 - 0.5 ** ((self.now - self.answered) / WINDOW))
-                self.pace, self.answered = self.pace + part * (note.took - self.pace), self.now
+                self.pace.tell(self.now, note.took)
                 self.brisk *= 1.006 if note.took > self.brisk else 0.986
             self.load += 0.1 * (note.took - self.load) if note.copy == 2 else 0
         elif note.fate == io.FULL:
-            self.strain.add(self.now, float(launch.stood))
+            evt.customer.strain.add(self.now, float(launch.stood))
         elif note.fate == io.NO_ANSWER and not launch.stood:
             self.load += 0.1 * max(0.0, note.took - self.load)
         evt.over = evt.over or note.over
@@ -549,7 +560,7 @@
             self.close(evt)
         elif note.fate == io.MISSING and self.deed.misses and self.order(evt.func, launch.host):
             evt.func.waiting.append(evt)
-        elif self.overloaded():
+        elif evt.customer.overloaded(self.now):
             self.give_up(evt)
         else:
             self.post("route", evt)
@@ -558,7 +569,7 @@
         """A launch to a silent host is recalled so that another may follow; never one that could harm."""
         evt = launch.evt
         plain = launch.fate is None and evt.clause.kind == io.REDELIVERABLE and not evt.streams
-        useful = evt.over or len(evt.tries) < self.deed.launches and not self.overloaded()
+        useful = evt.over or len(evt.tries) < self.deed.launches and not evt.customer.overloaded(self.now)
         if self.deed.recalls and plain and useful:
             self.actions.append(io.Recall(evt.id, evt.tries.index(launch)))
 
@@ -569,7 +580,7 @@
         ran, clause = evt.may_have_run(), evt.clause
         young = not ran or self.now - ran[0].sent < 0.5 * clause.memory
         drops = clause.kind == io.KEYED and clause.group == "all" and young
-        evt.over, advice = True, min(self.deed.advice, max(self.pace, 100.0)) * (1 + self.chance()) / 2
+        evt.over, advice = True, min(self.deed.advice, max(self.pace.value, 100.0)) * (1 + self.chance()) / 2
         harmless = not ran or drops or clause.kind == io.REDELIVERABLE
         self.actions.append(io.Defer(evt.id, advice) if harmless else io.DeadLetter(evt.id))
         self.close(evt)
@@ -606,12 +617,7 @@
     def borne(self):
         """Events a ms that a warm host bears from this gateway: at least its part of one at a time."""
         own = self.handled.read(self.now) / (1.44 * WINDOW * max(1, len(self.zone.slots)))
-        return max(own, 1 / (self.deed.gateways * self.pace))
-
-    def beyond(self, party):
-        """True for what a customer sends beyond an equal part of its share."""
-        self.spent[party] = self.spent.get(party, 0.0) + 1
-        return self.spent[party] > 2 * WINDOW * self.deed.parts.get(party, 1.0)
+        return max(own, 1 / (self.deed.gateways * self.pace.value))
 
     def sweep(self):
         now = self.now
@@ -621,17 +627,16 @@
         for host in self.hosts.values():
             if (host.out or host.strikes) and host.state == io.READY:
                 host.post("sweep", now)
-                bad += host.silent or host.shut > now or host.probing
+                bad += host.shut > now or host.probing
         # When most hosts look bad it is likelier this gateway's own sight: then none is held to be.
         self.blind = bad * 2 > sum(h.state == io.READY for h in self.zone.slots)
         if self.deed.misses:
             for func in self.history.functions.values():
-                for evt in [e for e in func.waiting if e.over or e.until - now < 2 * self.pace]:
+                for evt in [e for e in func.waiting if e.over or e.until - now < 2 * self.pace.value]:
                     func.waiting.remove(evt)
                     self.post("give_up", evt)
         if now >= self.next_window:
             self.next_window = now + WINDOW
-            self.spent = {party: n / 2 for party, n in self.spent.items() if n > 0.5}
             self.history.post("window", now)
             self.hosts = {h.id: h for h in self.hosts.values()
                           if h.state != io.GONE or h.out or h in self.zone.slots}
