--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -193,7 +193,7 @@
         self.sheds = False
         self.others = Tally()       # events of other gateways here, as answers tell
         self.pace, self.crowd, self.full = Mean(0.0, 0.1), 1.0, Tally()
-        self.tried = self.gate.now - self.gate.chance() * self.gate.deed.gateways * self.gate.pace.value
+        self.tried = self.gate.now - self.gate.chance() * self.gate.deed.gateways * self.gate.mean()
         self.tight = -1e18          # when it last had no room for a copy
         self.credit, self.credited = self.gate.chance(), self.gate.now      # of rule 4, while cold
 
@@ -251,7 +251,7 @@
     def mean(self):
         """The host's mean answer time; what it told last ages towards the mean of all hosts."""
         told = 0.5 ** ((self.gate.now - self.pace.at) / (2 * WINDOW))
-        return self.gate.pace.value + told * (self.pace.value - self.gate.pace.value)
+        return (1 - told) * self.gate.mean() + told * self.pace.value
 
     def sent(self, launch, now):
         self.out[launch] = self.tried = now
@@ -422,6 +422,13 @@
             getattr(actor, note)(*what)
         return self.actions
 
+    def mean(self):
+        """The mean answer time of all hosts. A few slow hosts do not make all seem late, as an answer counts
+        for twice the mean at most; and without answers it ages to what it was at first, so that a gateway
+        that takes nothing does not go on so."""
+        told = 0.5 ** ((self.now - self.pace.at) / (2 * WINDOW))
+        return (1 - told) * self.deed.target / 4 + told * self.pace.value
+
     def chance(self):
         self.drawn += 1
         return crc32(f"{self.seed}/{self.drawn}".encode()) / 2.0**32
@@ -514,7 +521,7 @@
             few = sum(t.evt.func is evt.func for t in host.out) < WAITERS
             return wait <= (evt.until - self.now if few else evt.clause.target)
         # One at a time from all gateways goes to a host though it seems late, to see whether it still is.
-        stale = self.now - max(host.pace.at, host.tried) > self.deed.gateways * self.pace.value
+        stale = self.now - max(host.pace.at, host.tried) > self.deed.gateways * self.mean()
         return wait <= min(SURE * evt.clause.target, evt.until - self.now) or not host.out and stale
 
     def may(self, evt, host):
@@ -548,7 +555,8 @@
         if note.fate == io.HANDLED:
             self.handled.add(self.now, 1.0)
             if note.copy in (0, 1):
-                self.pace.tell(self.now, note.took)
+                self.pace.value = self.mean()
+                self.pace.tell(self.now, min(note.took, 2 * self.pace.value))
                 self.brisk *= 1.006 if note.took > self.brisk else 0.986
             self.load += 0.1 * (note.took - self.load) if note.copy == 2 else 0
         elif note.fate == io.FULL:
@@ -580,7 +588,7 @@
         ran, clause = evt.may_have_run(), evt.clause
         young = not ran or self.now - ran[0].sent < 0.5 * clause.memory
         drops = clause.kind == io.KEYED and clause.group == "all" and young
-        evt.over, advice = True, min(self.deed.advice, max(self.pace.value, 100.0)) * (1 + self.chance()) / 2
+        evt.over, advice = True, min(self.deed.advice, max(self.mean(), 100.0)) * (1 + self.chance()) / 2
         harmless = not ran or drops or clause.kind == io.REDELIVERABLE
         self.actions.append(io.Defer(evt.id, advice) if harmless else io.DeadLetter(evt.id))
         self.close(evt)
@@ -617,7 +625,7 @@
     def borne(self):
         """Events a ms that a warm host bears from this gateway: at least its part of one at a time."""
         own = self.handled.read(self.now) / (1.44 * WINDOW * max(1, len(self.zone.slots)))
-        return max(own, 1 / (self.deed.gateways * self.pace.value))
+        return max(own, 1 / (self.deed.gateways * self.mean()))
 
     def sweep(self):
         now = self.now
@@ -632,7 +640,7 @@
         self.blind = bad * 2 > sum(h.state == io.READY for h in self.zone.slots)
         if self.deed.misses:
             for func in self.history.functions.values():
-                for evt in [e for e in func.waiting if e.over or e.until - now < 2 * self.pace.value]:
+                for evt in [e for e in func.waiting if e.over or e.until - now < 2 * self.mean()]:
                     func.waiting.remove(evt)
                     self.post("give_up", evt)
         if now >= self.next_window:
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -152,7 +152,7 @@
     taken = 0
     for me in range(50):
         fleet = Fleet("a", gateways=50, me=me, seed=me)
-        fleet.gate.pace.value = 450.0
+        fleet.gate.pace.value, fleet.gate.pace.at = 450.0, fleet.now
         taken += fleet.event(max_age=5000.0)[0] in fleet.sent
         fleet.now += 50 * 450.0
         assert fleet.event()[0] in fleet.sent
@@ -166,3 +166,16 @@
         fleet.take(io.ClientLeft(event))
     noisy, calm = fleet.gate.deed.customers.values()
     assert noisy.overloaded(fleet.now) and not calm.overloaded(fleet.now)
+
+
+def test_a_gateway_that_takes_nothing_tries_again_and_a_few_slow_hosts_do_not_make_all_seem_late():
+    fleet = Fleet("ab", gateways=100)
+    fleet.gate.pace.value, fleet.gate.pace.at = 2000.0, fleet.now
+    assert fleet.event(later=1.0)[0] not in fleet.sent
+    assert fleet.event(later=15000.0)[0] in fleet.sent
+    fleet = Fleet("abcd")
+    for i in range(30):
+        event, _ = fleet.event(f"f{i}", later=100.0)
+        if event in fleet.sent:
+            fleet.answer(event, took=4000.0 if fleet.sent[event] == ["a"] else 50.0)
+    assert fleet.gate.mean() < 0.75 * 500.0
