A wait for an order ends before the client's time

Cause: where hosts miss, an event was launched again 50 ms after its order, also when its client had less time left, so it got no final answer.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -507,7 +507,7 @@
         if evt.over or evt.streams or evt.out():
             self.close(evt)
         elif note.fate == io.MISSING and self.deed.misses and self.order(evt.func, launch.host):
-            self.ring(SWEEP / 2, str(evt.id))       # by then the order is there, and events wait for the load
+            self.ring(min(SWEEP / 2, evt.until - self.now - 1), str(evt.id))    # by then the order is there
         elif evt.customer.overloaded(self.now):
             self.give_up(evt)
         else:
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -118,6 +118,10 @@
     fleet.rest(100)
     fleet.take(io.Wake(str(event)))
     assert fleet.sent[event] == [found[0].host] * 2
+    brief, _ = fleet.event("other", max_age=200.0)
+    found = fleet.answer(brief, io.MISSING, later=180.0)
+    assert [a.at for a in found if isinstance(a, io.Ring)][0] < fleet.gate.events[brief].until
+    assert kinds(fleet.take(io.Wake(str(brief)), later=25.0)) == [io.Defer]     # in time for its client
 
 
 def test_overload_defers_what_would_be_late_and_launches_nothing_further():
