--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# `make rehearse` and `make test` set up what they need: a virtual environment in .venv, from the pinned lists.
+PY := .venv/bin/python
+READY := .venv/ready
+
+.PHONY: rehearse test lint ci bench clean
+rehearse: $(READY)
+	$(PY) -m cherrydoor rehearse quick
+
+test: $(READY)
+	$(PY) -m pytest -q --doctest-modules cherrydoor tests
+
+lint: $(READY)
+	.venv/bin/ruff check .
+	.venv/bin/mypy
+	.venv/bin/lint-imports
+
+ci: lint test
+
+$(READY): requirements.txt requirements-dev.txt pyproject.toml
+	test -x $(PY) || python3 -m venv .venv
+	$(PY) -m pip install -q --disable-pip-version-check -r requirements-dev.txt
+	$(PY) -m pip install -q --disable-pip-version-check --no-deps -e .
+	touch $(READY)
+
+clean:
+	rm -rf .venv found
--- /dev/null
+++ b/cherrydoor/__main__.py
@@ -0,0 +1,3 @@
+from cherrydoor.cli import main
+
+main()
--- /dev/null
+++ b/cherrydoor/cli/commands.py
@@ -0,0 +1,165 @@
+"""Sub-commands of `cherrydoor`. What each prints and how it exits: docs/commands.md."""
+
+import json
+import sys
+import time
+from pathlib import Path
+
+import click
+
+WRONG_RULE, NOT_MADE, USAGE, BAD_FILE = 1, 2, 2, 64
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.option("--log-level", default="info", show_default=True,
+              type=click.Choice(["debug", "info", "warning", "error", "critical"]), help="What is logged at the least.")
+@click.version_option("0.2.0", prog_name="cherrydoor")
+def main(log_level):
+    """A gateway that runs events on hosts which load functions on demand, and a kit to rehearse its bad days.
+
+    Start with `cherrydoor rehearse quick`.
+    """
+    from cherrydoor.cli import logs
+    logs.set_up(log_level)
+
+
+@main.command()
+@click.option("--lease", "leases", multiple=True, required=True, type=click.Path(),
+              help="What the gateway is handed. Several leases make several gateways in this one process.")
+@click.option("--tied", is_flag=True, help="End when standard input does.")
+@click.option("--announce", is_flag=True, help="Print each door that is open, as a JSON object a line.")
+@click.option("--baseline", type=click.Choice(["random", "least-out"]), hidden=True)
+def gateway(leases, tied, announce, baseline):
+    """Run a gateway until SIGTERM, which has it answer what it holds and leave. SIGHUP checks the lease anew."""
+    from cherrydoor.gateway.daemon import main as run
+    if baseline:
+        from cherrydoor.rehearsal.baselines import MAKERS
+        make = MAKERS[baseline]
+    else:
+        from cherrydoor.logic import Gateway as make
+
+    def tell(name, port):
+        print(json.dumps({"is": "door", "gateway": name, "port": port}), flush=True)
+    sys.exit(run(leases, make, tied, tell if announce else None))
+
+
+@main.group()
+def lease():
+    """Check and show leases, the files that gateways are handed."""
+
+
+def problems(error, as_json):
+    """Prints what is wrong with a file and exits."""
+    if as_json:
+        print(json.dumps([vars(p) for p in error.problems], indent=1))
+    else:
+        print(error, file=sys.stderr)
+    sys.exit(BAD_FILE)
+
+
+@lease.command()
+@click.argument("file", type=click.Path())
+@click.option("--json", "as_json", is_flag=True, help="Print problems as JSON.")
+def check(file, as_json):
+    """Tell everything that is wrong with FILE; 0 if nothing is, 64 otherwise."""
+    from cherrydoor.lease import Problems
+    from cherrydoor.lease.figures import lease_of
+    try:
+        lease_of(file)
+    except Problems as error:
+        problems(error, as_json)
+    print("[]" if as_json else f"{file}: good")
+
+
+@lease.command("show")
+@click.argument("file", type=click.Path())
+@click.option("--json", "as_json", is_flag=True, help="As JSON: durations in ms, sizes in bytes.")
+def show_lease(file, as_json):
+    """Print FILE with all defaults filled in."""
+    from cherrydoor.lease import Problems, show
+    from cherrydoor.lease.figures import read_file
+    try:
+        said = read_file(file)
+    except Problems as error:
+        problems(error, as_json)
+    print(json.dumps(said, indent=1) if as_json else show(said))
+
+
+@main.command("stand-in", hidden=True)
+@click.argument("kind", type=click.Choice(["hosts", "store", "roll", "clients"]))
+def stand_in(kind):
+    """One part of a rehearsal; its figures come as the first line of standard input."""
+    said = json.loads(sys.stdin.readline())
+    if kind == "clients":
+        import uvloop
+
+        from cherrydoor.rehearsal.clients import play
+        uvloop.run(play(said))
+    else:
+        from cherrydoor.standin.command import main as run
+        run(kind, said)
+
+
+@main.command()
+@click.argument("day")
+@click.option("--out", type=click.Path(), help="Folder for traffic, leases, logs and report.")
+@click.option("--seed", type=int, help="In place of the day's own.")
+@click.option("--decides", type=click.Choice(["module", "random", "least-out"]),
+              help="What chooses hosts; the latter two are baselines.")
+@click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
+@click.option("--quiet", is_flag=True, help="No progress.")
+def rehearse(day, out, seed, decides, as_json, quiet):
+    """Play DAY, the name of a shipped one or a file, on loopback sockets, then judge it from its traffic.
+
+    Exits with 0 where every rule was kept, 1 where one was broken, 2 where the run could not be made.
+    """
+    from cherrydoor.lease import Problems
+    from cherrydoor.rehearsal.conduct import CannotRun
+    from cherrydoor.rehearsal.conduct import rehearse as play
+    from cherrydoor.rehearsal.day import read_day
+    try:
+        said = read_day(day, seed=seed)
+        if decides:
+            said["gateways"]["decides"] = decides
+    except Problems as error:
+        print(error, file=sys.stderr)
+        sys.exit(NOT_MADE)
+    folder = Path(out or f"found/{said['name']}-{said['seed']}-{int(time.time())}")
+    if not quiet:
+        print(f"{said['name']}: {said['about']}\n{(said['length'] + said['warm']) / 1000:g} s with "
+              f"{said['gateways']['count']} gateways and {said['fleet']['hosts']} hosts, into {folder}",
+              file=sys.stderr)
+    try:
+        play(said, folder, (lambda text: None) if quiet else (lambda text: print(text, file=sys.stderr, flush=True)))
+    except (CannotRun, OSError) as error:
+        print(f"the run could not be made: {error}", file=sys.stderr)
+        sys.exit(NOT_MADE)
+    except KeyboardInterrupt:
+        print("stopped", file=sys.stderr)
+        sys.exit(NOT_MADE)
+    judge(folder, as_json)
+
+
+def judge(folder, as_json):
+    from cherrydoor.rehearsal.audit import Unreadable, audit
+    from cherrydoor.rehearsal.report import charts, table
+    try:
+        found = audit(folder)
+    except Unreadable as error:
+        print(f"the traffic cannot be judged: {error}", file=sys.stderr)
+        sys.exit(NOT_MADE)
+    (Path(folder) / "report.json").write_text(json.dumps(found, indent=1))
+    charts(found, Path(folder) / "report.svg")
+    if as_json:
+        print(json.dumps(found, indent=1))
+    else:
+        table(found)
+    sys.exit(WRONG_RULE if found["broken"] else 0)
+
+
+@main.command("audit")
+@click.argument("folder", type=click.Path(exists=True))
+@click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
+def audit_command(folder, as_json):
+    """Judge the five rules from the traffic in FOLDER and tell how well the clients were served."""
+    judge(folder, as_json)
--- /dev/null
+++ b/cherrydoor/frames/messages.py
@@ -0,0 +1,204 @@
+"""Every message of the wire, as typed records. docs/wire.md has the same in words.
+
+Times are ms with fractions. `clock` and `sent` are readings of the sender's own clock, of use only in differences;
+`since` is ms since 1970. Ids are whole numbers that belong to the connection they are sent on.
+"""
+
+from typing import Annotated, Literal
+
+from msgspec import Meta, Struct
+
+VERSION = 1
+LARGEST = 16 * 2**20            # bytes of one frame's body, unless a hello states less
+
+Id = Annotated[int, Meta(ge=0, le=2**62)]
+Name = Annotated[str, Meta(max_length=256)]
+Span = Annotated[float, Meta(ge=0.0, le=1e10)]
+Time = Annotated[float, Meta(ge=-1e15, le=1e15)]
+Count = Annotated[int, Meta(ge=0, le=2**31)]
+Text = Annotated[str, Meta(max_length=1024)]
+Fate = Literal["handled", "error", "full", "missing"]
+Final = Literal["handled", "deferred", "dead-lettered"]
+State = Literal["ready", "draining", "gone"]
+How = Literal["changes", "whole"]
+Role = Literal["client", "gateway", "host", "store", "list"]
+
+
+class Message(Struct, tag_field="is", omit_defaults=True, gc=False):
+    """What all messages share: the field `is` names the kind."""
+
+
+# ---- both ways, on every connection
+class Hello(Message, tag="hello"):
+    """First on each connection, from both ends: who speaks, and what it takes."""
+    version: Count
+    role: Role
+    name: Name = ""
+    clock: Time = 0.0           # the sender's clock as it wrote this
+    since: Time = 0.0           # a host's start, 0 elsewhere
+    largest: Count = LARGEST    # the longest body that the sender of this takes
+    most: Count = 0             # events or launches that it takes at once; 0 says nothing
+
+
+class Fault(Message, tag="fault"):
+    """Last on a connection: why the sender closes it."""
+    reason: Text
+
+
+class Leaving(Message, tag="leaving"):
+    """The gateway drains: it takes nothing new, clients go elsewhere."""
+    reason: Text = ""
+
+
+# ---- client to gateway and back
+class Event(Message, tag="event"):
+    id: Id
+    clause: Name
+    function: Name
+    lasts: Annotated[float, Meta(gt=0.0, le=1e10)]      # from `sent` on, until the client gives up
+    sent: Time
+    party: Name = ""
+    mark: Name = ""             # by which a repeat of a keyed event is known
+    lanes: Annotated[float, Meta(ge=0.0, le=1e6)] = 1.0
+    load: Span = 0.0            # usual time of a load, 0 where not known
+    body: bytes = b""
+
+
+class Withdraw(Message, tag="withdraw"):
+    id: Id
+
+
+class Answer(Message, tag="answer"):
+    id: Id
+    fate: Final
+    stay_away: Span = 0.0       # with deferred: try again no sooner
+    reason: Text = ""
+    body: bytes = b""
+
+
+class Started(Message, tag="started"):
+    """The answer has begun to stream: the client's time-out ceases to apply."""
+    id: Id
+
+
+# ---- gateway to host and back
+class Launch(Message, tag="launch"):
+    id: Id
+    event: Id                   # the client's id of it
+    client: Name
+    clause: Name
+    function: Name
+    limit: Span                 # the gateway waits no longer than this
+    number: Count = 0           # which launch of the event this is, from 0
+    mark: Name = ""
+    body: bytes = b""
+
+
+class Recall(Message, tag="recall"):
+    id: Id
+
+
+class Outcome(Message, tag="outcome"):
+    id: Id
+    fate: Fate
+    copy: Annotated[int, Meta(ge=0, le=4)] = 0   # 1 a copy stood, 2 began a load, 3 awaited one, 4 the load failed
+    crowd: Count = 0            # events of the same function that the host held
+    held: Span | None = None    # events it held in all, by its last report
+    body: bytes = b""
+
+
+class Underway(Message, tag="underway"):
+    id: Id
+
+
+class Probe(Message, tag="probe"):
+    id: Id
+
+
+class Probed(Message, tag="probed"):
+    id: Id
+    fate: Fate = "handled"
+    held: Span | None = None
+
+
+class Order(Message, tag="order"):
+    """Hold at least so many copies; 0 only asks how many stand."""
+    id: Id
+    function: Name
+    copies: Annotated[int, Meta(ge=0, le=16)]
+
+
+class Ordered(Message, tag="ordered"):
+    id: Id
+    fate: Fate
+    copies: Count = 0
+
+
+class Drop(Message, tag="drop"):
+    """Let go of the function's idle copies."""
+    id: Id
+    function: Name
+
+
+class Dropped(Message, tag="dropped"):
+    id: Id
+    copies: Count = 0           # still standing
+
+
+# ---- host to store and back
+class Fetch(Message, tag="fetch"):
+    id: Id
+    function: Name
+
+
+class Fetched(Message, tag="fetched"):
+    id: Id
+    fate: Fate
+    release: Count = 0
+    memory: Span = 0.0          # MB of a copy
+    lanes: Count = 1
+    work: Span = 0.0            # mean ms of a core for an event
+    start: Span = 0.0           # ms of a start once the image is there
+    core: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.0     # part of the start that takes a core
+
+
+# ---- gateway and list
+class Row(Struct, omit_defaults=True, gc=False):
+    host: Name                  # address:port, also its id
+    state: State
+    since: Time = 0.0
+    zone: Name = ""
+    cell: int = 0
+
+
+class Follow(Message, tag="follow"):
+    """Rows and their changes from now on."""
+
+
+class Ask(Message, tag="ask"):
+    """The whole list, once."""
+
+
+class Rows(Message, tag="rows"):
+    revision: Count
+    how: How
+    rows: list[Row] = []
+
+
+class Heard(Message, tag="heard"):
+    """The gateway has read that revision."""
+    revision: Count
+
+
+ALL = (Hello, Fault, Leaving, Event, Withdraw, Answer, Started, Launch, Recall, Outcome, Underway, Probe, Probed,
+       Order, Ordered, Drop, Dropped, Fetch, Fetched, Follow, Ask, Rows, Heard)
+ALWAYS = (Hello, Fault)
+# What each end takes from each other end; any other kind is unknown there.
+FROM_CLIENT = (*ALWAYS, Event, Withdraw)
+TO_CLIENT = (*ALWAYS, Leaving, Answer, Started)
+TO_HOST = (*ALWAYS, Launch, Recall, Probe, Order, Drop)
+FROM_HOST = (*ALWAYS, Outcome, Underway, Probed, Ordered, Dropped)
+TO_STORE = (*ALWAYS, Fetch)
+FROM_STORE = (*ALWAYS, Fetched)
+TO_LIST = (*ALWAYS, Follow, Ask, Heard)
+FROM_LIST = (*ALWAYS, Rows)
--- /dev/null
+++ b/cherrydoor/gateway/daemon.py
@@ -0,0 +1,125 @@
+"""`cherrydoor gateway`: one process, one or more gateways, until a signal ends it. Exit codes: docs/commands.md."""
+
+import asyncio
+import errno
+import gc
+import signal
+import sys
+from functools import partial
+
+import structlog
+import uvloop
+from prometheus_client import CollectorRegistry, start_http_server
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+from cherrydoor.gateway.shell import Shell, address
+from cherrydoor.lease.figures import lease_of
+from cherrydoor.lease.records import Problems
+
+log = structlog.get_logger()
+DONE, LATE, BAD_LEASE, PORT_TAKEN, BROKEN = 0, 3, 64, 69, 70
+
+
+class Counts:
+    """Plain metrics, read off the desks when they are asked for."""
+
+    def __init__(self, shells):
+        self.shells = shells
+
+    def collect(self):
+        told = CounterMetricFamily("cherrydoor_total", "What a gateway counted", labels=["gateway", "what"])
+        now = GaugeMetricFamily("cherrydoor_now", "What a gateway holds", labels=["gateway", "what"])
+        for shell in self.shells:
+            name, desk = shell.figures.name, shell.desk
+            for what, count in list(desk.counts.items()):
+                told.add_metric([name, what], count)
+            for what, count in (("events", len(desk.taken)), ("hosts", len(desk.hosts)),
+                                ("clients", len(desk.clients)), ("alarms", len(desk.alarms))):
+                now.add_metric([name, what], count)
+        yield told
+        yield now
+
+
+class Daemon:
+    def __init__(self, paths, make_gate, tied=False, announce=None):
+        self.paths, self.make_gate, self.tied, self.announce = paths, make_gate, tied, announce
+        self.shells, self.terms = [], 0
+
+    async def run(self, figures):
+        loop = asyncio.get_running_loop()
+        for one in figures:
+            shell = Shell(one, self.make_gate)
+            self.shells.append(shell)
+            try:
+                await shell.start()
+            except OSError as error:
+                taken = error.errno == errno.EADDRINUSE
+                log.error("the door's port is taken" if taken else "the door cannot be opened", door=one.door,
+                          error=str(error))
+                return PORT_TAKEN
+            log.info("the door is open", gateway=one.name, door=f"{address(one.door)[0]}:{shell.port}")
+            if self.announce:
+                self.announce(one.name, shell.port)
+        if figures[0].metrics:
+            registry = CollectorRegistry()
+            registry.register(Counts(self.shells))
+            host, port = address(figures[0].metrics)
+            try:
+                start_http_server(port, host, registry)
+            except OSError as error:
+                log.error("the metrics' port is taken", metrics=figures[0].metrics, error=str(error))
+                return PORT_TAKEN
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.terminate)
+        loop.add_signal_handler(signal.SIGHUP, self.check)
+        if self.tied:
+            loop.add_reader(sys.stdin.fileno(), self.untied)
+        gc.collect()
+        gc.freeze()
+        codes = await asyncio.gather(*(shell.done for shell in self.shells))
+        for shell in self.shells:
+            await shell.stop()
+        await asyncio.sleep(0.05)
+        log.info("ended", code=max(codes))
+        return max(codes)
+
+    def terminate(self):
+        self.terms += 1
+        for shell in self.shells:
+            if self.terms == 1:
+                shell.drain("the gateway is leaving")
+            else:
+                shell.drained_out()
+
+    def untied(self):
+        if not sys.stdin.buffer.read1(4096):
+            asyncio.get_running_loop().remove_reader(sys.stdin.fileno())
+            self.terminate()
+            self.terminate()
+
+    def check(self):
+        """SIGHUP: the leases are read anew; bounds change at once, the rest is told to need a start."""
+        try:
+            read = [lease_of(path) for path in self.paths]
+        except Problems as error:
+            return log.error("the new lease is wrong, the old one is kept", problems=str(error))
+        for shell, new in zip(self.shells, read, strict=True):
+            if new.lease != shell.figures.lease or new.door != shell.figures.door:
+                log.warning("the lease has changed where only a start takes it up", gateway=new.name)
+            shell.bounds = shell.figures.bounds = new.bounds
+            shell.desk.terms = shell.figures.terms = new.terms
+            log.info("the lease is read anew", gateway=new.name)
+
+
+def main(paths, make_gate, tied=False, announce=None):
+    """Runs until a signal; returns the exit code."""
+    figures, wrong = [], []
+    for path in paths:
+        try:
+            figures.append(lease_of(path))
+        except Problems as error:
+            wrong.append(str(error))
+    if wrong:
+        print("\n".join(wrong), file=sys.stderr)
+        return BAD_LEASE
+    return uvloop.run(partial(Daemon(paths, make_gate, tied, announce).run, figures)())
--- /dev/null
+++ b/cherrydoor/gateway/shell.py
@@ -0,0 +1,305 @@
+"""The sockets of one gateway: door, floor and the list's follower. Bytes to inputs of the desk, its writes to bytes."""
+
+import asyncio
+import time
+
+import msgspec
+import structlog
+
+from cherrydoor import interface as io
+from cherrydoor.ends import End
+from cherrydoor.frames import codec
+from cherrydoor.frames import messages as m
+from cherrydoor.gateway.desk import Client, Desk
+
+log = structlog.get_logger()
+
+
+def address(text):
+    """'127.0.0.1:4000' or '[::1]:4000' as host and port."""
+    host, _, port = text.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class Clock:
+    """Ms since 1970 at the start, from there on by the monotonic clock: it never goes back."""
+
+    def __init__(self):
+        self.ahead = time.time() * 1000 - time.monotonic() * 1000
+
+    def now(self):
+        return time.monotonic() * 1000 + self.ahead
+
+
+class ClientEnd(End):
+    """A client at the door."""
+
+    def __init__(self, shell):
+        super().__init__(shell.door, m.FROM_CLIENT, shell.hello, shell.bounds.client_bytes, shell.bounds.frame)
+        self.client = Client(self)
+
+
+class Door:
+    def __init__(self, shell):
+        self.shell, self.ends = shell, set()
+
+    def greeted(self, end, hello):
+        shell = self.shell
+        if hello.role != "client":
+            return end.close(f"a client is expected here, not a {hello.role}")
+        if len(self.ends) >= shell.bounds.connections:
+            shell.desk.counts["connections refused"] += 1
+            return end.close("as many connections are open as may be")
+        self.ends.add(end)
+        shell.post(shell.desk.came_in, end.client, hello)
+
+    def heard(self, end, message):
+        shell = self.shell
+        if end not in self.ends:
+            return
+        if type(message) is m.Event:
+            shell.post(shell.desk.came, end.client, message)
+        else:
+            shell.post(shell.desk.withdrawn, end.client, message.id)
+
+    def lost(self, end):
+        if end in self.ends:
+            self.ends.discard(end)
+            self.shell.post(self.shell.desk.went, end.client)
+        if end.why and not end.why.startswith("[Errno"):
+            log.info("a client's connection was closed", client=end.client.name, why=end.why)
+
+
+class HostEnd(End):
+    """A connection to a host."""
+
+    def __init__(self, shell, link):
+        super().__init__(shell.floor, m.FROM_HOST, shell.hello, shell.bounds.host_bytes, shell.bounds.frame)
+        self.link = link
+
+    def connection_made(self, transport):
+        super().connection_made(transport)
+        self.owner.shell.post(self.owner.shell.desk.linked, self.link, self)
+
+    def write(self, message):
+        try:
+            super().write(message)
+        except codec.BadFrame as error:     # the host says that it takes no frame of this size
+            self.owner.too_large(self, message, error)
+
+
+class Floor:
+    def __init__(self, shell):
+        self.shell = shell
+
+    def dial(self, link):
+        asyncio.get_running_loop().create_task(self.connect(link))
+
+    async def connect(self, link):
+        shell = self.shell
+        try:
+            await asyncio.wait_for(asyncio.get_running_loop().create_connection(
+                lambda: HostEnd(shell, link), *address(link.host.id)), shell.desk.terms.connect / 1000)
+        except (TimeoutError, OSError, ValueError):
+            shell.post(shell.desk.unlinked, link)
+
+    def greeted(self, end, hello):
+        if hello.role != "host":
+            return end.close(f"a host is expected here, not a {hello.role}")
+        self.shell.post(self.shell.desk.greeted, end.link, hello)
+
+    def heard(self, end, message):
+        self.shell.post(self.shell.desk.heard, end.link, message)
+
+    def too_large(self, end, message, error):
+        log.warning("a host takes no frame of this size", host=end.link.host.id, error=str(error))
+        self.shell.post(self.shell.desk.heard, end.link, m.Outcome(message.id, "full"))
+
+    def lost(self, end):
+        self.shell.post(self.shell.desk.unlinked, end.link)
+
+
+class Roll:
+    """Follows the list: by push, or by asking when the module says so. Keeps the last one on disk."""
+
+    def __init__(self, shell, where, saved, asks):
+        self.shell, self.where, self.saved, self.asks = shell, where, saved, asks
+        self.end, self.task, self.said, self.dirty = None, None, False, False
+
+    def read_saved(self):
+        """The list as last held; what cannot be read is said and left."""
+        if not self.saved or not self.saved.exists():
+            return None
+        try:
+            return msgspec.json.decode(self.saved.read_bytes(), type=list[m.Row])
+        except (msgspec.DecodeError, OSError) as error:
+            log.warning("the saved list cannot be read", file=str(self.saved), error=str(error))
+            return None
+
+    def save(self):
+        self.dirty = False
+        if not self.saved:
+            return
+        try:
+            new = self.saved.with_suffix(".new")
+            new.write_bytes(msgspec.json.encode(self.shell.desk.rows()))
+            new.replace(self.saved)
+        except OSError as error:
+            log.warning("the list cannot be saved", file=str(self.saved), error=str(error))
+
+    def start(self):
+        self.task = asyncio.get_running_loop().create_task(self.follow())
+
+    async def follow(self):
+        """Connects again and again; says so once while the list cannot be reached."""
+        loop, pause = asyncio.get_running_loop(), 0.1
+        while True:
+            try:
+                _, end = await asyncio.wait_for(loop.create_connection(
+                    lambda: End(self, m.FROM_LIST, self.shell.hello), *address(self.where)), 5.0)
+                self.end, pause = end, 0.1
+                if self.said:
+                    log.info("the list is reached", address=self.where)
+                self.said, self.gone = False, loop.create_future()
+                if not self.asks:
+                    end.write(m.Follow())
+                await self.gone
+            except (TimeoutError, OSError) as error:
+                if not self.said:
+                    log.warning("the list cannot be reached, going on with the last one", address=self.where,
+                                error=str(error) or "time-out", hosts=len(self.shell.desk.hosts))
+                self.said = True
+            await asyncio.sleep(pause)
+            pause = min(2.0, pause * 1.5)
+
+    def hear(self, asked):
+        """The module asks for the list."""
+        if self.end is not None:
+            self.end.write(m.Ask())
+        else:
+            self.shell.post(self.shell.desk.list_failed)
+
+    def greeted(self, end, hello):
+        if hello.role != "list":
+            end.close(f"a list is expected here, not a {hello.role}")
+
+    def heard(self, end, message):
+        self.shell.post(self.listed, end, message)
+
+    def listed(self, end, message):
+        how = io.CHANGES if message.how == "changes" else io.WHOLE
+        self.shell.desk.listed(how, message.rows)
+        end.write(m.Heard(message.revision))
+        if not self.dirty:
+            self.dirty = True
+            asyncio.get_running_loop().call_later(0.5, self.save)
+
+    def lost(self, end):
+        if self.end is end:
+            self.end = None
+            self.shell.post(self.shell.desk.list_failed)
+            log.warning("the connection to the list is lost", address=self.where, why=end.why)
+        if not self.gone.done():
+            self.gone.set_result(None)
+
+
+class Shell:
+    """One gateway: its sockets, its clock and the turn."""
+
+    def __init__(self, figures, gate):
+        self.figures, self.bounds, self.clock = figures, figures.bounds, Clock()
+        self.loop, self.timer, self.timer_at, self.asked = asyncio.get_running_loop(), None, 0.0, False
+        self.door, self.floor = Door(self), Floor(self)
+        self.roll = Roll(self, figures.list_at, figures.saved, figures.lease.asks)
+        self.make_gate, self.server, self.broken = gate, None, 0
+        self.done = self.loop.create_future()
+        self.desk = self.new_desk()
+
+    def new_desk(self):
+        return Desk(self.make_gate(self.figures.lease), self.figures.terms, self.floor.dial, self.clock.now(),
+                    self.roll.hear)
+
+    def hello(self):
+        return m.Hello(m.VERSION, "gateway", self.figures.name, self.clock.now(), 0.0, self.bounds.frame,
+                       self.figures.terms.most_open)
+
+    async def start(self):
+        saved = self.roll.read_saved()
+        if saved is not None:
+            self.post(self.desk.listed, io.SAVED, saved)
+        self.roll.start()
+        host, port = address(self.figures.door)
+        self.server = await self.loop.create_server(lambda: ClientEnd(self), host, port, backlog=1024)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.set_timer()
+
+    # ---- the turn: all callbacks of one pass of the loop share it
+    def post(self, what, *args):
+        if self.desk.post(what, *args) and not self.asked:
+            self.asked = True
+            self.loop.call_soon(self.turn)
+
+    def turn(self):
+        self.asked = False
+        try:
+            self.desk.turn(self.clock.now())
+        except Exception:
+            self.start_anew()
+        self.set_timer()
+        if self.desk.draining is not None and not self.desk.taken and not self.done.done():
+            self.done.set_result(0)
+
+    def start_anew(self):
+        """A fault in the decisions ends this gateway's life and begins another: clients are cut off, as they would
+        be if the process had died, and the list is all that is kept."""
+        self.broken += 1
+        log.critical("a fault in the decisions; starting anew", gateway=self.figures.name, exc_info=True)
+        old, rows = self.desk, self.desk.rows()
+        for end in list(self.door.ends):
+            end.abort("the gateway starts anew")
+        for host in old.hosts.values():
+            for link in host.links:
+                if link.wire is not None:
+                    link.wire.abort()
+        self.desk = self.new_desk()
+        self.post(self.desk.listed, io.SAVED, rows)
+        if self.broken > 5 and not self.done.done():
+            self.done.set_result(70)
+
+    def set_timer(self):
+        at = self.desk.next_alarm()
+        if self.timer is not None:
+            if self.timer_at == at:
+                return
+            self.timer.cancel()
+        self.timer_at = at
+        self.timer = self.loop.call_later(max(0.0, at - self.clock.now()) / 1000, self.rung)
+
+    def rung(self):
+        self.timer = None
+        self.turn()
+
+    def drain(self, reason):
+        if self.desk.draining is None:
+            log.info("draining", gateway=self.figures.name, events=len(self.desk.taken), reason=reason)
+            self.post(self.desk.drain, reason)
+            self.loop.call_later(self.bounds.drain / 1000, self.drained_out)
+
+    def drained_out(self):
+        if not self.done.done():
+            log.warning("the time to drain is over", gateway=self.figures.name, events=len(self.desk.taken))
+            self.done.set_result(3)
+
+    async def stop(self):
+        self.server.close()
+        self.roll.task.cancel()
+        for end in list(self.door.ends):
+            end.close()
+        for host in self.desk.hosts.values():
+            for link in host.links:
+                if link.wire is not None:
+                    link.wire.close()
+        if self.timer:
+            self.timer.cancel()
+        self.roll.save()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/cherrydoor/lease/figures.py
@@ -0,0 +1,106 @@
+"""A lease as read, turned into the few things that a gateway goes by."""
+
+from importlib import resources
+from pathlib import Path
+
+from cherrydoor import interface as io
+from cherrydoor.lease.records import Duration, Problem, Problems, Size, read
+
+
+def schema(name):
+    return resources.files("cherrydoor.lease").joinpath(name).read_text()
+
+
+def read_file(path, top="#Lease", name="lease.schema"):
+    """The plain value of a file of records; Problems also for a file that cannot be read at all."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise Problems([Problem(str(path), 1, 1, "", "a readable file of UTF-8 text", str(error))]) from None
+    return read(text, str(path), schema(name), top, name)
+
+
+def bare(value):
+    """The same value without units: what leaves the lease are plain numbers."""
+    if isinstance(value, dict):
+        return {key: bare(item) for key, item in value.items()}
+    if isinstance(value, list):
+        return [bare(item) for item in value]
+    return float(value) if isinstance(value, Duration) else int(value) if isinstance(value, Size) else value
+
+
+class Bounds:
+    """What the sockets go by: bytes, connections, and the ms that draining may take."""
+
+    def __init__(self, said):
+        self.connections, self.client_bytes, self.host_bytes = (
+            said["connections"], said["client_bytes"], said["host_bytes"])
+        self.frame, self.drain = said["frame"], said["drain"]
+
+
+class Terms:
+    """What bounds a desk, each with what is done at the bound. Times in ms.
+
+    spare: taken off each client's time, for the way back;  most_open: events held, more are deferred untaken;
+    per_link: launches on one connection before another is opened;  links: connections to one host, then they share;
+    connect: a connection not up by then failed;  idle: an unused one is closed;  probe, order: longest wait for these;
+    stay: advice with what is refused untaken.
+    """
+
+    def __init__(self, spare=25.0, most_open=20000, per_link=100, links=4, connect=250.0, idle=15000.0,
+                 probe=250.0, order=10000.0, stay=200.0):
+        self.spare, self.most_open, self.per_link, self.links = spare, most_open, per_link, links
+        self.connect, self.idle, self.probe, self.order, self.stay = connect, idle, probe, order, stay
+
+
+class Figures:
+    """One gateway's lease: for the module (lease), the desk (terms) and the sockets (bounds, addresses)."""
+
+    def __init__(self, said):
+        said = bare(said)
+        may, cold, ration, bounds = said["may"], said["cold"], said["ration"], said["bounds"]
+        self.name, self.door, self.list_at = said["name"], said["door"], said["list"]
+        self.saved = Path(said["saved"]) if said["saved"] else None
+        self.metrics = said["metrics"]
+        self.bounds = Bounds(bounds)
+        self.terms = Terms(bounds["spare"], bounds["open_events"], bounds["launches_on_a_link"],
+                           bounds["links_to_a_host"], bounds["connect"], bounds["idle"], bounds["probe"],
+                           bounds["order"], bounds["stay"])
+        self.lease = io.Lease(
+            said["number"], said["gateways"], said["seed"], said["zone"], 1.0,
+            tuple(io.Clause(**clause) for clause in said["clauses"]),
+            tuple(io.Party(**party) for party in said["parties"]),
+            said["asks"], may["launches"], may["twice"], may["recall"], may["probe"], may["advice"],
+            cold["from"], cold["time"], cold["multiple"], cold["fall"], said["linger"], may["order"],
+            said["misses"], ration["free"], ration["share"], ration["within"])
+
+
+def problems_of(said, file):
+    """What no single field shows: addresses that are none, doubled names, a number beyond the count."""
+    found = []
+
+    def check(good, path, expected, value):
+        if not good:
+            found.append(Problem(file, 1, 1, path, expected, str(value)))
+
+    for path in ("door", "list", "metrics"):
+        host, _, port = said[path].rpartition(":")
+        good = host and port.isdigit() and int(port) < 65536
+        check(good or path == "metrics" and not said[path], path, "an address:port", repr(said[path]))
+    check(said["number"] < said["gateways"], "number", f"a number below {said['gateways']} gateways", said["number"])
+    for path in ("clauses", "parties"):
+        names = [entry["name"] for entry in said[path]]
+        check(len(set(names)) == len(names), path, "names that differ", " ".join(names))
+    for i, clause in enumerate(said["clauses"]):
+        check(clause["target"] <= clause["max_age"], f"clauses.{i}.target", "no more than max_age", clause["target"])
+        keyed = clause["kind"] == "keyed"
+        check(not keyed or clause["memory"] > 0, f"clauses.{i}.memory", "above 0 for a keyed event type", 0)
+    return found
+
+
+def lease_of(path):
+    """The figures of a lease file; Problems names everything that is wrong with it."""
+    said = read_file(path)
+    if found := problems_of(said, str(path)):
+        raise Problems(found)
+    return Figures(said)
--- /dev/null
+++ b/cherrydoor/rehearsal/clients.py
@@ -0,0 +1,237 @@
+"""Clients in an open loop: they send what was drawn when it is due, whatever became of the rest, and note what comes.
+
+One process plays all clients of a day, with one connection to each gateway. Time counts from when an event was due;
+how late it really went is noted with it, so that a reader can tell whether to believe the rest.
+"""
+
+import asyncio
+import gc
+from heapq import heappop, heappush
+from zlib import crc32
+
+from cherrydoor.ends import End
+from cherrydoor.frames import messages as m
+from cherrydoor.rehearsal.traffic import draw, function_name
+from cherrydoor.standin.command import commands, say
+from cherrydoor.standin.record import Record, now
+
+
+class Try:
+    """One event as sent: the first try of it, or a repeat."""
+
+    __slots__ = ("id", "first", "index", "due", "until", "deadline", "turn", "conn")
+
+    def __init__(self, number, first, index, due, deadline, turn):
+        self.id, self.first, self.index, self.due = number, first, index, due
+        self.deadline, self.turn, self.until, self.conn = deadline, turn, 0.0, None
+
+
+class Connection:
+    """To one gateway; tried again and again while it is down."""
+
+    def __init__(self, clients, number, address):
+        self.clients, self.number, self.end, self.open = clients, number, None, {}
+        self.host, _, port = address.rpartition(":")
+        self.port, self.leaving = int(port), False
+
+    async def keep(self):
+        while True:
+            try:
+                self.gone = asyncio.get_running_loop().create_future()
+                await asyncio.get_running_loop().create_connection(
+                    lambda: End(self, m.TO_CLIENT, self.hello), self.host, self.port)
+                await self.gone
+            except OSError:
+                await asyncio.sleep(0.1)
+
+    def hello(self):
+        return m.Hello(m.VERSION, "client", f"c{self.number}", now())
+
+    def greeted(self, end, hello):
+        self.end, self.leaving = end, False
+        self.clients.record.add("connected", peer=hello.name)
+
+    def heard(self, end, message):
+        kind = type(message)
+        if kind is m.Answer:
+            self.clients.answered(self, message)
+        elif kind is m.Leaving:
+            self.leaving = True
+        elif kind is m.Started:
+            self.clients.started(self, message)
+
+    def lost(self, end):
+        if self.end is end:
+            self.end = None
+        for one in list(self.open.values()):
+            self.clients.cut(self, one)
+        if not self.gone.done():
+            self.gone.set_result(None)
+
+
+class Clients:
+    def __init__(self, day, doors, record):
+        self.day, self.record, self.loop = day, record, asyncio.get_running_loop()
+        self.arrivals, self.events = draw(day), day["events"]
+        self.offices = [o["name"] for o in day["offices"]] or [""]
+        self.doors = [Connection(self, i, address) for i, address in enumerate(doors)]
+        self.bodies = [b"b" * e["body"] for e in self.events]
+        self.heap, self.serial, self.next, self.ids, self.ends = [], 0, 0, 0, self.loop.create_future()
+        self.names = [f"g{i}" for i in range(len(doors))]
+        self.begun, self.streams = 0.0, set()
+
+    def chance(self, *what):
+        return crc32(repr((self.day["seed"], *what)).encode()) / 2.0**32
+
+    def go(self, at):
+        """Starts the day at that time of the machine's monotonic clock."""
+        self.begun = at
+        self.record.add("begun", t=at)
+        self.loop.call_later(max(0.0, at - now()) / 1000, self.tick)
+
+    def later(self, at, what, *args):
+        self.serial += 1
+        heappush(self.heap, (at, self.serial, what, args))
+
+    def tick(self):
+        """Sends all that is due and ends what has run out, then waits for the next."""
+        t, arrivals = now(), self.arrivals
+        while True:
+            due = self.begun + arrivals.at[self.next] if self.next < arrivals.count else None
+            alarm = self.heap[0][0] if self.heap else None
+            if due is not None and due <= t and (alarm is None or due <= alarm):
+                i, self.next = self.next, self.next + 1
+                self.first(i, float(due))
+            elif alarm is not None and alarm <= t:
+                _, _, what, args = heappop(self.heap)
+                what(*args)
+            else:
+                break
+        upcoming = [x for x in (due, alarm) if x is not None]
+        if upcoming:
+            self.loop.call_later(max(0.0, min(upcoming) - now()) / 1000, self.tick)
+        elif not self.ends.done():
+            self.ends.set_result(None)
+
+    def first(self, i, due):
+        event = self.events[self.arrivals.clause[i]]
+        one = Try(self.new_id(), i, 0, due, due + event["max_age"], self.arrivals.gateway[i])
+        self.send(one)
+
+    def new_id(self):
+        self.ids += 1
+        return self.ids
+
+    def send(self, one):
+        i, a = one.first, self.arrivals
+        event, t = self.events[a.clause[i]], now()
+        conn = self.doors[int(one.turn) % len(self.doors)]
+        lasts = min(event["max_age"] * a.patience[i], one.deadline - t)
+        if lasts <= 1:
+            return
+        row = dict(peer=self.names[conn.number], id=one.id, event=one.id, number=one.index,
+                   function=function_name(a.function[i]), clause=event["name"], party=self.offices[a.party[i]],
+                   mark=f"m{i}", a=float(one.due), b=float(lasts), c=float(i))
+        if conn.end is None or conn.leaving:
+            self.record.add("unreachable", t=t, **row)
+            return self.again(one, "unreachable", 0.0)
+        one.conn, one.until = conn, t + lasts
+        conn.open[one.id] = one
+        self.record.add("sent", t=t, text="extra" if a.extra[i] else "", **row)
+        conn.end.write(m.Event(one.id, event["name"], row["function"], lasts, t, row["party"], row["mark"],
+                               self.lanes(a.function[i]), self.load(a.function[i]), self.bodies[a.clause[i]]))
+        self.later(one.until, self.gave_up, one)
+        if a.leaves[i] and one.index == 0:
+            self.later(t + float(a.leaves[i]), self.withdraw, one)
+
+    def lanes(self, function):
+        lanes = self.day["functions"]["lanes"]
+        return float(lanes[crc32(f"lanes/{function_name(function)}".encode()) % len(lanes)])
+
+    def load(self, function):
+        least, most = self.day["functions"]["load"]
+        return (least + most) / 2
+
+    def close(self, one):
+        conn, one.conn = one.conn, None
+        conn.open.pop(one.id, None)
+        return self.names[conn.number]
+
+    def answered(self, conn, answer):
+        one = conn.open.get(answer.id)
+        self.record.add("answer", peer=self.names[conn.number], id=answer.id, event=answer.id, fate=answer.fate,
+                        a=answer.stay_away, number=int(one is not None), text=answer.reason)
+        if one is None:
+            return
+        self.close(one)
+        self.streams.discard(one.id)
+        if answer.fate != "handled":
+            self.again(one, answer.fate, answer.stay_away)
+
+    def started(self, conn, message):
+        self.record.add("started", peer=self.names[conn.number], id=message.id, event=message.id)
+        self.streams.add(message.id)
+
+    def gave_up(self, one):
+        if one.conn is None or one.id in self.streams:
+            return
+        conn = one.conn
+        self.record.add("gave up", peer=self.close(one), id=one.id, event=one.id)
+        if conn.end:
+            conn.end.write(m.Withdraw(one.id))
+        self.again(one, "gave up", 0.0)
+
+    def withdraw(self, one):
+        if one.conn is not None:
+            conn = one.conn
+            self.record.add("withdrew", peer=self.close(one), id=one.id, event=one.id)
+            if conn.end:
+                conn.end.write(m.Withdraw(one.id))
+
+    def cut(self, conn, one):
+        self.record.add("cut", peer=self.close(one), id=one.id, event=one.id)
+        self.again(one, "cut", 0.0)
+
+    def again(self, one, why, stay):
+        """Repeats what may be repeated: redeliverable ones after any failure, keyed ones within the memory of a group
+        that is all, others only where the answer says that it is harmless."""
+        event, clients, t = self.events[self.arrivals.clause[one.first]], self.day["clients"], now()
+        harmless = why in ("deferred", "unreachable") or event["kind"] == "redeliverable" or (
+            event["kind"] == "keyed" and event["group"] == "all" and t - one.due < 0.8 * event["memory"])
+        if one.index >= clients["retries"] or not harmless:
+            return
+        wait = clients["wait"] * 2**one.index * (0.5 + self.chance("wait", one.id))
+        if why == "deferred" and self.chance("heed", one.first) < clients["heed"]:
+            wait = max(wait, stay)
+        if t + wait < one.deadline - 50:
+            # a repeat goes to another gateway where this one was out of reach
+            turn = one.turn + (1 if why in ("unreachable", "cut") else 0)
+            self.later(t + wait, self.send, Try(self.new_id(), one.first, one.index + 1, one.due, one.deadline, turn))
+
+
+async def play(said):
+    record = Record(said["record"], "client", "clients")
+    clients = Clients(said["day"], said["doors"], record)
+    tasks = [asyncio.get_running_loop().create_task(door.keep()) for door in clients.doors]
+    while any(door.end is None for door in clients.doors):
+        await asyncio.sleep(0.02)
+    gc.collect()
+    gc.freeze()
+    say("ready", events=clients.arrivals.count)
+
+    def obey(name, values):
+        if name == "go":
+            clients.go(values["at"])
+        elif name == "count":
+            return clients.next
+        else:
+            raise ValueError(f"unknown: {name}")
+
+    def over(_):
+        record.flush()
+        say("over", sent=clients.ids)
+    clients.ends.add_done_callback(over)
+    await commands(obey)
+    for task in tasks:
+        task.cancel()
+    record.close()
--- /dev/null
+++ b/cherrydoor/rehearsal/day.py
@@ -0,0 +1,84 @@
+"""A day as read: what the conductor starts, what the clients send, and the terms that the audit judges by."""
+
+from pathlib import Path
+
+from cherrydoor.lease.figures import bare, read_file
+from cherrydoor.lease.records import Problem, Problems
+
+SHIPPED = Path(__file__).parent / "days"
+
+
+def find(name):
+    """The file of a shipped day by its name, else the path itself."""
+    shipped = SHIPPED / f"{name}.day"
+    return shipped if shipped.exists() else Path(name)
+
+
+def read_day(name, **changes):
+    """The plain values of a day file. `changes` replace top values, such as seed; Problems where it is wrong."""
+    path = find(name)
+    said = bare(read_file(path, "#Day", "day.schema"))
+    said.update({key: value for key, value in changes.items() if value is not None})
+    found = [Problem(str(path), 1, 1, f"troubles.{i}.at", f"less than the day's {said['length'] / 1000:g} s",
+                     f"{trouble['at'] / 1000:g} s")
+             for i, trouble in enumerate(said["troubles"]) if trouble["at"] >= said["length"]]
+    found += [Problem(str(path), 1, 1, f"troubles.{i}.floor", f"one of {len(said['fleet']['floors'])} floors", "more")
+              for i, trouble in enumerate(said["troubles"]) if trouble["floor"] >= len(said["fleet"]["floors"])]
+    if found:
+        raise Problems(found)
+    return said
+
+
+def builds(day):
+    """One build a host, in the order of their numbers: kinds by share, floors in turn."""
+    fleet, cold, found = day["fleet"], day["cold"], []
+    total = sum(kind["share"] for kind in fleet["kinds"])
+    owed = [0.0] * len(fleet["kinds"])
+    for i in range(fleet["hosts"]):
+        owed = [o + kind["share"] / total for o, kind in zip(owed, fleet["kinds"], strict=True)]
+        k = owed.index(max(owed))
+        owed[k] -= 1
+        kind, floors = fleet["kinds"][k], fleet["floors"]
+        found.append(dict(
+            cores=kind["cores"], speed=kind["speed"], memory=kind["memory"], queue=fleet["queue"],
+            loads=fleet["loads"], keep=fleet["keep"], eager=fleet["eager"], disk=fleet["disk"],
+            cold_from=cold["from"], cold=cold["time"], multiple=cold["multiple"], fall=cold["fall"],
+            report=fleet["report"], noise=fleet["noise"], tells_held=fleet["tells_held"],
+            error_rate=fleet["error_rate"], load_fail=fleet["load_fail"], misses=fleet["misses"],
+            remember=max((e["memory"] for e in day["events"]), default=0.0),
+            zone=floors[i % len(floors)], cell=i // len(floors) // fleet["cells"]))
+    return found
+
+
+def lease_values(day, number, door, listing, folder, decides=None):
+    """The lease of one gateway of the day, as plain values."""
+    may, floors = day["may"], day["fleet"]["floors"]
+    return {
+        "name": f"g{number}", "number": number, "gateways": day["gateways"]["count"],
+        "seed": day["seed"] * 1000 + number, "zone": floors[number % len(floors)], "door": door, "list": listing,
+        "asks": may["asks"], "saved": str(folder / f"g{number}.hosts"),
+        "clauses": [{k: e[k] for k in ("name", "kind", "group", "stream")} | {
+            k: ms(e[k]) for k in ("target", "max_age", "memory")} for e in day["events"]],
+        "parties": [{"name": o["name"], "per_second": o["per_second"]} for o in day["offices"] if o["per_second"]],
+        "cold": {"from": day["cold"]["from"], "time": ms(day["cold"]["time"]), "multiple": day["cold"]["multiple"],
+                 "fall": ms(day["cold"]["fall"])},
+        "ration": {"free": day["ration"]["free"], "share": day["ration"]["share"],
+                   "within": ms(day["ration"]["within"])},
+        "may": {k: may[k] for k in ("launches", "twice", "recall", "probe", "order")} | {"advice": ms(may["advice"])},
+        "bounds": {}, "linger": ms(day["linger"]), "misses": day["fleet"]["misses"]}
+
+
+def ms(value):
+    from cherrydoor.lease.records import Duration
+    return Duration(value)
+
+
+def terms(day):
+    """What the audit judges by: the rules' figures and nothing of how they are kept."""
+    return {"name": day["name"], "seed": day["seed"], "length": day["length"], "warm": day["warm"],
+            "grace": day["grace"], "cold": day["cold"], "twice": day["may"]["twice"], "ration": day["ration"],
+            "decides": day["gateways"]["decides"],
+            "events": {e["name"]: {k: e[k] for k in ("target", "max_age", "kind", "group", "memory", "stream")}
+                       for e in day["events"]},
+            "offices": {o["name"]: o for o in day["offices"]},
+            "builds": {k: day["cold"][k] for k in ("from", "time", "multiple", "fall")}}
--- /dev/null
+++ b/cherrydoor/standin/command.py
@@ -0,0 +1,178 @@
+"""Stand-ins as processes: one JSON object a line on standard input is a command, 'ready' goes out as one, and the
+end of standard input ends the process, so that nothing is left over when whoever started it dies."""
+
+import asyncio
+import json
+import signal
+import sys
+
+import uvloop
+
+from cherrydoor.frames import messages as m
+from cherrydoor.standin.catalogue import Catalogue
+from cherrydoor.standin.host import Build, Farm
+from cherrydoor.standin.record import Record
+from cherrydoor.standin.roll import Roll
+from cherrydoor.standin.store import Store
+
+
+def say(what, **more):
+    print(json.dumps({"is": what, **more}), flush=True)
+
+
+async def commands(obey):
+    """Feeds each command to obey(name, values); returns when standard input ends or a signal comes."""
+    loop, lines = asyncio.get_running_loop(), asyncio.StreamReader(limit=2**22)
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(lines), sys.stdin)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, lines.feed_eof)
+    while line := await lines.readline():
+        try:
+            values = json.loads(line)
+            tag = values.pop("tag", None)
+            result = obey(values.pop("do"), values)
+            if asyncio.iscoroutine(result):
+                result = await result
+            say("done", of=tag, result=result)
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            say("wrong", line=line.decode(errors="replace").strip(), error=f"{type(error).__name__}: {error}")
+
+
+class HostCommands:
+    def __init__(self, farm):
+        self.farm = farm
+
+    def __call__(self, name, values):
+        return getattr(self, name.replace(" ", "_"))(**values)
+
+    def each(self, hosts):
+        found = [self.farm.hosts[h] for h in hosts] if hosts is not None else list(self.farm.hosts.values())
+        return [h for h in found if h.up]
+
+    async def add(self, builds, names=None, cold=False):
+        """Starts hosts; gives their ids."""
+        return [(await self.farm.add(names[i] if names else "127.0.0.1:0", Build(**build), cold)).id
+                for i, build in enumerate(builds)]
+
+    def drain(self, hosts, on=True):
+        for host in self.each(hosts):
+            host.draining = on
+
+    def crash(self, hosts=None):
+        for host in self.each(hosts):
+            host.kill()
+
+    async def restart(self, hosts, cold=True):
+        """Up again on the same port, empty and cold; gives when each started, ms since 1970."""
+        for name in hosts:
+            if not self.farm.hosts[name].up:
+                await self.farm.hosts[name].start(cold=cold)
+        return [self.farm.hosts[name].since for name in hosts]
+
+    def silent(self, hosts=None, on=True):
+        for host in self.each(hosts):
+            host.quiet = on
+
+    def refuse(self, hosts=None, on=True):
+        for host in self.each(hosts):
+            host.refuse = on
+
+    def slow(self, hosts=None, times=1.0):
+        for host in self.each(hosts):
+            host.slow = times
+            host.kick()
+
+    def lose(self, hosts=None, share=0.0):
+        for host in self.each(hosts):
+            host.lose = share
+
+    def pause(self, hosts=None, ms=0.0, every=1000.0):
+        """Each stands still for ms, then again after `every`, until told with 0."""
+        for host in self.each(hosts):
+            host.pause = (ms, every) if ms else None
+            self.again(host, host.pause)
+
+    def again(self, host, pause):
+        if pause and host.pause is pause and host.up:
+            host.stand_still(pause[0])
+            self.farm.loop.call_later((pause[0] + pause[1] * (0.5 + host.chance())) / 1000, self.again, host, pause)
+
+    def late(self, hosts=None, ms=0.0):
+        for host in self.each(hosts):
+            host.build.late = ms
+
+    def change(self, hosts=None, **figures):
+        for host in self.each(hosts):
+            host.build.__dict__.update(figures)
+
+    def flush(self, functions, release):
+        """Released anew: copies and images go void."""
+        for function in functions:
+            self.farm.releases[function] = release
+            for host in self.each(None):
+                host.void(function)
+
+    def fail(self, functions, on=True):
+        (self.farm.failing.update if on else self.farm.failing.difference_update)(functions)
+
+    def who(self):
+        return {h.id: {"up": h.up, "held": len(h.jobs) if h.up else 0, "started": h.since} for h in
+                self.farm.hosts.values()}
+
+
+async def hosts(said):
+    record = Record(said.get("record"), "host", said.get("name", "farm"))
+    farm = Farm(record, Catalogue(**said.get("catalogue", {})), said.get("seed", 1))
+    farm.scopes = said.get("scopes", {})
+    if said.get("store"):
+        host, _, port = said["store"].rpartition(":")
+        from cherrydoor.ends import End
+        await farm.loop.create_connection(
+            lambda: End(farm.store, m.FROM_STORE, lambda: m.Hello(m.VERSION, "host", "farm")), host, int(port))
+    obey = HostCommands(farm)
+    ids = await obey.add(said.get("builds", []), said.get("names"))
+    farm.sweep()
+    say("ready", hosts=ids)
+    await commands(obey)
+    record.close()
+
+
+async def store(said):
+    record = Record(said.get("record"), "store", "store")
+    one = await Store(record, Catalogue(**said.get("catalogue", {})), **said.get("figures", {})).start(
+        port=said.get("port", 0))
+
+    def obey(name, values):
+        if name == "release":
+            one.releases.update(dict.fromkeys(values["functions"], values["release"]))
+        elif name == "set":
+            one.set(**values)
+        else:
+            raise ValueError(f"unknown: {name}")
+    say("ready", port=one.port)
+    await commands(obey)
+    record.close()
+
+
+async def roll(said):
+    record = Record(said.get("record"), "list", "list")
+    one = await Roll(record, **said.get("figures", {})).start(port=said.get("port", 0))
+
+    def obey(name, values):
+        if name == "row":
+            one.set(m.Row(**values))
+        elif name == "deaf":
+            one.deaf = values["on"]
+        else:
+            raise ValueError(f"unknown: {name}")
+    say("ready", port=one.port)
+    await commands(obey)
+    record.close()
+
+
+KINDS = {"hosts": hosts, "store": store, "roll": roll}
+
+
+def main(kind, said):
+    """Runs one stand-in, kind 'hosts', 'store' or 'roll', until its standard input ends."""
+    uvloop.run(KINDS[kind](said))
