--- a/cherrydoor/standin/host.py
+++ b/cherrydoor/standin/host.py
@@ -121,8 +121,8 @@
         if kind is m.Launch:
             self.launched(end, message)
         elif kind is m.Recall:
-            self.record.add("recall", self.id, end.name, message.id)
             job = self.jobs.get((end, message.id))
+            self.record.add("recall", self.id, end.name, message.id, job.launch.event if job else 0)
             if job:
                 self.let_go(job)
         elif kind is m.Probe:
