--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 
 clean:
 	rm -rf .venv found
+
+bench: $(READY)
+	$(PY) -m bench.gateway --memory
--- a/cherrydoor/cli/commands.py
+++ b/cherrydoor/cli/commands.py
@@ -85,6 +85,67 @@
     print(json.dumps(said, indent=1) if as_json else show(said))
 
 
+@main.command()
+@click.option("--store", "store_at", required=True, help="Address of the program store.")
+@click.option("--count", default=1, show_default=True, help="How many hosts, each on a port of its own.")
+@click.option("--cores", default=2, show_default=True)
+@click.option("--memory", default=8000.0, show_default=True, help="MB.")
+@click.option("--record", type=click.Path(), help="Folder for what passes on its sockets.")
+def host(store_at, count, cores, memory, record):
+    """Run stand-in hosts. Commands come as JSON lines: {"do": "silent"}, {"do": "drain", "hosts": [...]}, {"do":
+    "crash"}, {"do": "slow", "times": 3}, {"do": "pause", "ms": 200}, {"do": "lose", "share": 0.5}, {"do": "who"}."""
+    from cherrydoor.standin.command import main as run
+    run("hosts", {"store": store_at, "record": record, "builds": [{"cores": cores, "memory": memory}] * count})
+
+
+@main.command()
+@click.option("--port", default=0, help="0 takes a free one.")
+@click.option("--at-once", default=10, show_default=True, help="Fetches at full pace.")
+@click.option("--record", type=click.Path(), help="Folder for what passes on its sockets.")
+def store(port, at_once, record):
+    """Run a stand-in program store. Commands: {"do": "set", "slow": 4}, {"do": "set", "stopped": true}."""
+    from cherrydoor.standin.command import main as run
+    run("store", {"port": port, "record": record, "figures": {"at_once": at_once}})
+
+
+@main.command("list")
+@click.option("--port", default=0, help="0 takes a free one.")
+@click.option("--host", "hosts", multiple=True, help="Address of a host that is ready from the start.")
+@click.option("--record", type=click.Path(), help="Folder for what passes on its sockets.")
+def list_command(port, hosts, record):
+    """Run a stand-in list of hosts. Commands: {"do": "row", "host": "127.0.0.1:4001", "state": "draining"}."""
+    from cherrydoor.standin.command import main as run
+    run("roll", {"port": port, "record": record, "hosts": list(hosts)})
+
+
+@main.command()
+@click.argument("door")
+@click.option("--function", default="deed-00001", show_default=True)
+@click.option("--clause", required=True, help="Event type.")
+@click.option("--party", default="", help="Customer.")
+@click.option("--mark", default="", help="Mark of a keyed event.")
+@click.option("--lasts", default=2500.0, show_default=True, help="Ms after which the client gives up.")
+@click.option("--body", default="", help="Text of the event, or - for standard input.")
+@click.option("--count", default=1, show_default=True)
+@click.option("--rate", default=10.0, show_default=True, help="Events a second where there are several.")
+@click.option("--json", "as_json", is_flag=True, help="An object a line for each answer.")
+def send(door, function, clause, party, mark, lasts, body, count, rate, as_json):
+    """Send an event to the gateway at DOOR, or several at a rate, and show the answers.
+
+    Exits with 0 where all were handled, 1 where some were not, 2 where the gateway cannot be reached.
+    """
+    from cherrydoor.cli.send import Sender
+    text = sys.stdin.buffer.read() if body == "-" else body.encode()
+    answers = Sender(door, clause, function, party, mark, lasts, text).run(count, rate)
+    if answers is None:
+        print(f"no gateway at {door}", file=sys.stderr)
+        sys.exit(2)
+    for one in answers:
+        line = f"{one['fate']:14} {one['ms']:8.1f} ms  {one['reason']}{one['body'][:60]}"
+        print(json.dumps(one) if as_json else line)
+    sys.exit(0 if all(one["fate"] == "handled" for one in answers) else 1)
+
+
 @main.command("stand-in", hidden=True)
 @click.argument("kind", type=click.Choice(["hosts", "store", "roll", "clients"]))
 def stand_in(kind):
--- /dev/null
+++ b/cherrydoor/cli/send.py
@@ -0,0 +1,64 @@
+"""`cherrydoor send`: one client connection, events at a rate, the answers in the order in which they came."""
+
+import asyncio
+import time
+
+import uvloop
+
+from cherrydoor.ends import End
+from cherrydoor.frames import messages as m
+
+
+class Sender:
+    def __init__(self, door, clause, function, party, mark, lasts, body):
+        self.host, _, port = door.rpartition(":")
+        self.port, self.lasts, self.answers, self.sent = int(port), lasts, [], {}
+        self.make = lambda number, t: m.Event(number, clause, function, lasts, t, party, mark, body=body)
+
+    def run(self, count, rate):
+        """The answers as plain values; None where nobody listens."""
+        return uvloop.run(self.send(count, rate))
+
+    async def send(self, count, rate):
+        loop = asyncio.get_running_loop()
+        self.changed = asyncio.Event()
+        try:
+            _, end = await loop.create_connection(lambda: End(self, m.TO_CLIENT, lambda: m.Hello(
+                m.VERSION, "client", "send", time.monotonic() * 1000)), self.host, self.port)
+        except OSError:
+            return None
+        for number in range(count):
+            self.sent[number] = time.monotonic() * 1000
+            end.write(self.make(number, self.sent[number]))
+            if number + 1 < count:
+                await asyncio.sleep(1 / rate)
+        until = time.monotonic() + self.lasts / 1000 + 0.5
+        while self.sent and time.monotonic() < until:
+            self.changed.clear()
+            try:
+                async with asyncio.timeout(max(0.01, until - time.monotonic())):
+                    await self.changed.wait()
+            except TimeoutError:
+                break
+        for number in list(self.sent):
+            self.add(number, "no answer", end.why)
+        end.close()
+        return self.answers
+
+    def add(self, number, fate, reason, body=b"", stay=0.0):
+        took = time.monotonic() * 1000 - self.sent.pop(number)
+        self.answers.append({"event": number, "fate": fate, "ms": round(took, 3), "reason": reason, "stay_away": stay,
+                             "body": body.decode(errors="replace")})
+
+    def greeted(self, end, hello):
+        pass
+
+    def heard(self, end, message):
+        if type(message) is m.Answer and message.id in self.sent:
+            self.add(message.id, message.fate, message.reason, message.body, message.stay_away)
+            self.changed.set()
+
+    def lost(self, end):
+        for number in list(self.sent):
+            self.add(number, "no answer", f"the connection is gone {end.why}")
+        self.changed.set()
--- a/cherrydoor/standin/command.py
+++ b/cherrydoor/standin/command.py
@@ -157,6 +157,8 @@
 async def roll(said):
     record = Record(said.get("record"), "list", "list")
     one = await Roll(record, **said.get("figures", {})).start(port=said.get("port", 0))
+    for host in said.get("hosts", ()):
+        one.set(m.Row(host, "ready"))
 
     def obey(name, values):
         if name == "row":
