--- a/cherrydoor/cli/commands.py
+++ b/cherrydoor/cli/commands.py
@@ -162,14 +162,17 @@
 
 
 @main.command()
-@click.argument("day")
+@click.argument("day", required=False)
+@click.option("--bench-day", type=click.Path(), help="A day drawn by the users' simulator, in place of DAY.")
+@click.option("--size", default=1.0, show_default=True, type=click.FloatRange(0.01, 1), help="Of a bench day's fleet.")
+@click.option("--speed", default=1.0, show_default=True, type=click.FloatRange(0.05, 1), help="Of its real time.")
 @click.option("--out", type=click.Path(), help="Folder for traffic, leases, logs and report.")
 @click.option("--seed", type=int, help="In place of the day's own.")
 @click.option("--decides", type=click.Choice(["module", "random", "least-out"]),
               help="What chooses hosts; the latter two are baselines.")
 @click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
 @click.option("--quiet", is_flag=True, help="No progress.")
-def rehearse(day, out, seed, decides, as_json, quiet):
+def rehearse(day, bench_day, size, speed, out, seed, decides, as_json, quiet):
     """Play DAY, the name of a shipped one or a file, on loopback sockets, then judge it from its traffic.
 
     Exits with 0 where every rule was kept, 1 where one was broken, 2 where the run could not be made.
@@ -178,8 +181,17 @@
     from cherrydoor.rehearsal.conduct import CannotRun
     from cherrydoor.rehearsal.conduct import rehearse as play
     from cherrydoor.rehearsal.day import read_day
+    if (day is None) == (bench_day is None):
+        raise click.UsageError("DAY or --bench-day FILE, one of them")
     try:
-        said = read_day(day, seed=seed)
+        if bench_day:
+            from cherrydoor.rehearsal.bench_day import bench_day as convert
+            said, left = convert(bench_day, size, speed)
+            said["seed"] = seed if seed is not None else said["seed"]
+            if not quiet:
+                print("left out: " + ", ".join(left), file=sys.stderr)
+        else:
+            said = read_day(day, seed=seed)
         if decides:
             said["gateways"]["decides"] = decides
     except Problems as error:
--- a/cherrydoor/gateway/desk.py
+++ b/cherrydoor/gateway/desk.py
@@ -115,7 +115,11 @@
         heappush(self.alarms, (at, self.numbers, what, args))
 
     def next_alarm(self):
-        return self.alarms[0][0] if self.alarms else None
+        """When to turn next; what belongs to events that are over is dropped here, not waited for."""
+        alarms = self.alarms
+        while alarms and alarms[0][2] == self.overdue and alarms[0][3][0].over:
+            heappop(alarms)
+        return alarms[0][0] if alarms else None
 
     # ---- the door
     def came_in(self, client, hello):
--- a/cherrydoor/gateway/shell.py
+++ b/cherrydoor/gateway/shell.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from math import ceil
 
 import msgspec
 import structlog
@@ -277,7 +278,8 @@
                 return
             self.timer.cancel()
         self.timer_at = at
-        self.timer = self.loop.call_later(max(0.0, at - self.clock.now()) / 1000, self.rung)
+        # whole ms, upwards: a shorter wait would be rounded to none, and the loop would turn until the time came
+        self.timer = self.loop.call_later(max(0, ceil(at - self.clock.now())) / 1000, self.rung)
 
     def rung(self):
         self.timer = None
--- a/cherrydoor/rehearsal/day.py
+++ b/cherrydoor/rehearsal/day.py
@@ -31,6 +31,8 @@
 
 def builds(day):
     """One build a host, in the order of their numbers: kinds by share, floors in turn."""
+    if "builds" in day:         # a day drawn elsewhere says each
+        return day["builds"]
     fleet, cold, found = day["fleet"], day["cold"], []
     total = sum(kind["share"] for kind in fleet["kinds"])
     owed = [0.0] * len(fleet["kinds"])
--- a/cherrydoor/rehearsal/troubles.py
+++ b/cherrydoor/rehearsal/troubles.py
@@ -30,6 +30,16 @@
         self.drawn += 1
         return crc32(f"troubles/{self.day['seed']}/{self.drawn}".encode()) / 2.0**32
 
+    def struck(self, trouble, of=None):
+        """Those that the trouble names, where it names any; else a part chosen by the seed."""
+        if trouble.get("on"):
+            return [self.present(n) if of is None else n for n in trouble["on"]]
+        return self.some(trouble["part"], of)
+
+    def present(self, host):
+        """Who stands in that host's place by now."""
+        return next((new for new in reversed(self.hosts) if self.root(new) == host), host)
+
     def some(self, part, of=None):
         """At least one of them, chosen by the seed."""
         of = list(self.hosts if of is None else of)
@@ -43,18 +53,18 @@
         return new
 
     def told(self, trouble, at, end, do, on, off):
-        hosts = self.some(trouble["part"])
+        hosts = self.struck(trouble)
         self.add(at, "hosts", do=do, hosts=hosts, values=on)
         self.add(end, "hosts", do=do, hosts=hosts, values=off)
 
     # ---- each trouble of the table
     def crash(self, trouble, at, end):
-        for host in self.some(trouble["part"]):
+        for host in self.struck(trouble):
             self.add(at + 200 * self.chance(), "crash", host=host)
             self.add(end + 500 * self.chance(), "return", host=host)
 
     def rack_restart(self, trouble, at, end):
-        for host in self.some(trouble["part"]):
+        for host in self.struck(trouble):
             self.add(at, "crash", host=host)
             self.add(end, "return", host=host)
 
@@ -62,7 +72,7 @@
         self.told(trouble, at, end, "slow", {"times": trouble["size"]}, {"times": 1.0})
 
     def ageing(self, trouble, at, end):
-        hosts = self.some(trouble["part"])
+        hosts = self.struck(trouble)
         for i in range(1, 9):
             self.add(at + (end - at) * i / 9, "hosts", do="slow", hosts=hosts,
                      values={"times": 1 + (trouble["size"] - 1) * i / 8})
@@ -72,7 +82,7 @@
         self.told(trouble, at, end, "pause", {"ms": 150.0 * trouble["size"], "every": 1500.0}, {"ms": 0})
 
     def late_reports(self, trouble, at, end):
-        self.told(trouble | {"part": 1.0}, at, end, "late", {"ms": 1000.0 * trouble["size"]}, {"ms": 0.0})
+        self.told(trouble | {"part": 1.0, "on": None}, at, end, "late", {"ms": 1000.0 * trouble["size"]}, {"ms": 0.0})
 
     def lost_answers(self, trouble, at, end):
         self.told(trouble, at, end, "lose", {"share": min(1.0, trouble["size"])}, {"share": 0.0})
@@ -106,7 +116,7 @@
 
     def deploy(self, trouble, at, end):
         """In batches: drain, leave, and a cold successor on another port."""
-        hosts = self.some(trouble["part"])
+        hosts = self.struck(trouble)
         size = max(1, round(len(hosts) * 0.2))
         batches = [hosts[i:i + size] for i in range(0, len(hosts), size)]
         gap, drain = (end - at) / len(batches), 1000.0 * trouble["size"]
@@ -118,7 +128,7 @@
 
     def take_away(self, trouble, at, end):
         """Hosts are taken with short notice, in waves; others come in their place later."""
-        hosts = self.some(trouble["part"])
+        hosts = self.struck(trouble)
         for i, host in enumerate(hosts):
             when = at + (end - at) * (i // max(1, len(hosts) // 3)) / 3
             self.add(when, "drain", host=host)
@@ -126,12 +136,12 @@
             self.add(when + 1000.0 * trouble["size"] + 4000, "join", host=self.successor(host), like=host)
 
     def gateway_crash(self, trouble, at, end):
-        for gateway in self.some(trouble["part"], range(self.day["gateways"]["count"])):
+        for gateway in self.struck(trouble, range(self.day["gateways"]["count"])):
             self.add(at, "kill gateway", gateway=gateway)
             self.add(end, "start gateway", gateway=gateway)
 
     def gateway_stall(self, trouble, at, end):
-        for gateway in self.some(trouble["part"], range(self.day["gateways"]["count"])):
+        for gateway in self.struck(trouble, range(self.day["gateways"]["count"])):
             self.add(at, "stop gateway", gateway=gateway)
             self.add(end, "continue gateway", gateway=gateway)
 
