--- a/cherrydoor/rehearsal/bench_day.py
+++ b/cherrydoor/rehearsal/bench_day.py
@@ -43,7 +43,6 @@
     count = max(len(zones), round(len(first) * size))
     gateways = max(1, round(len(said["balancers"]) * size))
     servers = first[:count]
-    cold = kinds[0]
     builds = [dict(
         cores=kinds[s["kind"]]["cores"], speed=s["speed"] * speed, memory=fam["memory"][s["kind"]],
         queue=kinds[s["kind"]]["slots"] + kinds[s["kind"]]["queue"], loads=fam["loads_at_once"], keep=ms(fam["keep"]),
@@ -126,9 +125,9 @@
     elif what == "pauses":
         given["size"] = max(0.1, size / 150000)
     elif what == "late-reports":
-        given["size"] = size if size < 100 else size / 1e6
+        given["size"] = size * ms(1000.0)
     elif what in ("deploy", "take-away"):
-        given["size"] = max(0.2, extra)
+        given["size"] = max(0.2, extra * ms(1000.0))
     elif what == "lost-answers":
         given["size"] = min(1.0, max(0.05, size))
     elif what in ("flush", "repeats"):
