A list that must be asked: the first question no longer fails the start

Cause: the module asks as it starts, before the gateway's desk stood, so that a lease with asks: true could not start. The question is put in the next pass of the loop; it is a subscription, as the module means it. A story covers both the first question and the one after a lost connection.

--- a/cherrydoor/gateway/shell.py
+++ b/cherrydoor/gateway/shell.py
@@ -178,9 +178,12 @@
             pause = min(2.0, pause * 1.5)
 
     def hear(self, asked):
-        """The module asks for the list."""
+        """The module asks for the list; either it comes, or a failure is told, and the module asks again."""
+        asyncio.get_running_loop().call_soon(self.subscribe)
+
+    def subscribe(self):
         if self.end is not None:
-            self.end.write(m.Ask())
+            self.end.write(m.Follow())
         else:
             self.shell.post(self.shell.desk.list_failed)
 
--- a/tests/gateway/test_hard_cases.py
+++ b/tests/gateway/test_hard_cases.py
@@ -155,6 +155,17 @@
     await stack.list.until(lambda: len(stack.list.ends) > 1)
 
 
+@story
+async def test_a_list_that_must_be_asked_is_asked_again_after_a_failure(stack):
+    host = Host("handled")
+    client = await stack.start(host, cold="asks: true, cold: {}")
+    assert (await client.answer(client.send())).fate == "handled"
+    asked = len(stack.list.all(m.Follow))
+    stack.list.ends[-1].abort()
+    await stack.list.got(m.Follow, asked + 1)
+    assert (await client.answer(client.send())).fate == "handled"
+
+
 @story
 async def test_a_keyed_event_that_may_have_run_stays_in_its_group(stack):
     near, twin, far = Host(), Host("handled"), Host("handled")
