--- a/cherrydoor/lease/figures.py
+++ b/cherrydoor/lease/figures.py
@@ -47,7 +47,7 @@
     stay: advice with what is refused untaken.
     """
 
-    def __init__(self, spare=25.0, most_open=20000, per_link=100, links=4, connect=250.0, idle=15000.0,
+    def __init__(self, spare=50.0, most_open=20000, per_link=100, links=4, connect=250.0, idle=15000.0,
                  probe=250.0, order=10000.0, stay=200.0):
         self.spare, self.most_open, self.per_link, self.links = spare, most_open, per_link, links
         self.connect, self.idle, self.probe, self.order, self.stay = connect, idle, probe, order, stay
