A list older than the one before on its connection is ignored, counted and logged

Need: a list served by several, one of them behind, would have made a draining host ready again. Revisions count up on a connection; what is older is left. A story has an old whole list come after a drain.

--- a/cherrydoor/gateway/shell.py
+++ b/cherrydoor/gateway/shell.py
@@ -121,6 +121,11 @@
         self.shell.post(self.shell.desk.unlinked, end.link)
 
 
+class ListEnd(End):
+    """A connection to the list; revisions count up on it."""
+    revision = 0
+
+
 class Roll:
     """Follows the list: by push, or by asking when the module says so. Keeps the last one on disk."""
 
@@ -160,7 +165,7 @@
                 self.gone = loop.create_future()
                 async with asyncio.timeout(5.0):
                     _, self.end = await loop.create_connection(
-                        lambda: End(self, m.FROM_LIST, self.shell.hello), *address(self.where))
+                        lambda: ListEnd(self, m.FROM_LIST, self.shell.hello), *address(self.where))
                 pause = 0.1
                 if self.said:
                     log.info("the list is reached", address=self.where)
@@ -196,6 +201,11 @@
 
     def listed(self, end, message):
         how = io.CHANGES if message.how == "changes" else io.WHOLE
+        if message.revision < end.revision:     # guards against a list that is served by several, one behind
+            self.shell.desk.counts["late lists"] += 1
+            log.warning("a list older than the one before is ignored", revision=message.revision, had=end.revision)
+            return
+        end.revision = message.revision
         self.shell.desk.listed(how, message.rows)
         end.write(m.Heard(message.revision))
         if not self.dirty:
--- a/tests/gateway/test_hard_cases.py
+++ b/tests/gateway/test_hard_cases.py
@@ -155,6 +155,16 @@
     await stack.list.until(lambda: len(stack.list.ends) > 1)
 
 
+@story
+async def test_a_list_older_than_the_one_before_is_ignored(stack):
+    host = Host("handled")
+    client = await stack.start(host)
+    await stack.list.tell(m.Row(host.id, "draining", 0.0, "z", 0))
+    stack.list.ends[0].write(m.Rows(0, "whole", [m.Row(host.id, "ready", 0.0, "z", 0)]))
+    await stack.settled(lambda: stack.counts["late lists"])
+    assert (await client.answer(client.send())).fate == "deferred" and not host.all(m.Launch)
+
+
 @story
 async def test_a_list_that_must_be_asked_is_asked_again_after_a_failure(stack):
     host = Host("handled")
