An event with less time left than an answer's way back is deferred, not left without an answer

Only what is truly past its time goes unanswered; what is within the spared time is deferred untaken at once. A story has such an event.

--- a/cherrydoor/gateway/desk.py
+++ b/cherrydoor/gateway/desk.py
@@ -131,11 +131,14 @@
 
     def came(self, client, event):
         """An event is taken here, or refused untaken: known by its id already, past its time, or over a bound."""
-        until = self.now + event.lasts - client.late(event.sent, self.now) - self.terms.spare
+        ends = self.now + event.lasts - client.late(event.sent, self.now)
+        until = ends - self.terms.spare
         if event.id in client.open:
             self.counts["event ids doubled"] += 1
-        elif until <= self.now:
+        elif ends <= self.now:
             self.counts["events past their time"] += 1
+        elif until <= self.now:
+            self.refuse(client, event, "less time is left than an answer's way back takes", self.terms.stay)
         elif event.clause not in self.gate.deed.clauses:
             self.refuse(client, event, "no such event type", 0.0, "dead-lettered")
         elif self.draining is not None:
--- a/tests/gateway/test_hard_cases.py
+++ b/tests/gateway/test_hard_cases.py
@@ -254,6 +254,14 @@
     assert (await client.answer(number)).fate == "handled" and client.answers(900) == []
 
 
+@story
+async def test_an_event_with_less_time_than_is_spared_is_deferred_at_once(stack):
+    host = Host("handled")
+    client = await stack.start(host, bounds="bounds: {spare: 10s}")
+    answer = await client.answer(client.send(lasts=5000.0))
+    assert answer.fate == "deferred" and "way back" in answer.reason and not host.all(m.Launch)
+
+
 @story
 async def test_more_open_events_than_may_be_are_deferred_untaken(stack):
     host = Host()
