--- a/cherrydoor/rehearsal/conduct.py
+++ b/cherrydoor/rehearsal/conduct.py
@@ -83,6 +83,19 @@
             return await self.process.wait()
 
 
+def in_processes(count, together, floors):
+    """Gateway numbers by process. Those of one process are on one floor, so that a floor lost takes no other along.
+
+    >>> in_processes(7, 2, 3)
+    [[0, 3], [6], [1, 4], [2, 5]]
+    """
+    found = []
+    for floor in range(min(floors, count)):
+        here = list(range(floor, count, floors))
+        found += [here[i:i + together] for i in range(0, len(here), together)]
+    return found
+
+
 class Conductor:
     def __init__(self, day, folder, tell=lambda text: None):
         self.day, self.folder, self.tell = day, Path(folder), tell
@@ -138,7 +151,7 @@
             build = self.builds[number]
             await self.row(number, host, "ready", 0.0, build)
         count, together = day["gateways"]["count"], day["gateways"]["in_a_process"]
-        groups = [list(range(i, min(i + together, count))) for i in range(0, count, together)]
+        groups = in_processes(count, together, len(day["fleet"]["floors"]))
         for i in range(0, len(groups), 8):
             await asyncio.gather(*(self.start_gateways(group) for group in groups[i:i + 8]))
         self.clients = await self.part("clients").start("stand-in", "clients", given={
