--- a/tests/rehearsal/test_days.py
+++ b/tests/rehearsal/test_days.py
@@ -19,6 +19,7 @@
 name: "little"
 length: 4s
 warm: 1s
+spare: 400ms
 events: [{name: "draft", target: 750ms, max_age: 2s}, {name: "file", target: 750ms, max_age: 2s, kind: "at-most-once"}]
 fleet: {hosts: 4}
 cold: {}
