A launch whose event is over ends with its client's time; ports that come back are held apart

Alarms go only once nothing is out, and the time's end cuts what is. A stream's launches are cut as its client leaves.

--- a/cherrydoor/gateway/desk.py
+++ b/cherrydoor/gateway/desk.py
@@ -117,7 +117,7 @@
     def next_alarm(self):
         """When to turn next; what belongs to events that are over is dropped here, not waited for."""
         alarms = self.alarms
-        while alarms and alarms[0][2] == self.overdue and alarms[0][3][0].over:
+        while alarms and alarms[0][2] == self.overdue and alarms[0][3][0].over and not alarms[0][3][0].out:
             heappop(alarms)
         return alarms[0][0] if alarms else None
 
@@ -172,6 +172,8 @@
 
     def leave(self, taken):
         self.counts["clients left"] += 1
+        for sent in taken.launches if taken.streams else ():
+            self.cut(sent, io.RECALLED)         # a stream has no time of its own at which it would be cut
         self.end(taken)
         self.notes.append(io.ClientLeft(taken.number))
 
@@ -191,8 +193,9 @@
             self.taken.pop(taken.number, None)
 
     def overdue(self, taken):
-        """The client's time is up: launches out are cut and told; the module then owes the answer at once."""
-        if taken.over or taken.streams:
+        """The client's time is up: launches out are cut and told, also those of an event that is over already; if
+        it is not, the module then owes the answer at once."""
+        if taken.streams and not taken.over:
             return
         for sent in taken.launches:
             if sent.fate is None:
--- a/cherrydoor/rehearsal/conduct.py
+++ b/cherrydoor/rehearsal/conduct.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import time
 from pathlib import Path
@@ -83,6 +84,25 @@
             return await self.process.wait()
 
 
+class Ports:
+    """Ports that no outgoing connection is given by chance, so that a part can come back on its own after a crash."""
+
+    def __init__(self, seed):
+        self.next = 12000 + (os.getpid() * 97 + seed) % 15000
+
+    def take(self):
+        """A free one as an address; CannotRun where there is none."""
+        for _ in range(18000):
+            self.next = 12000 + (self.next - 11999) % 18000
+            with socket.socket() as one:
+                try:
+                    one.bind(("127.0.0.1", self.next))
+                except OSError:
+                    continue
+            return f"127.0.0.1:{self.next}"
+        raise CannotRun("no port from 12000 to 30000 is free")
+
+
 def in_processes(count, together, floors):
     """Gateway numbers by process. Those of one process are on one floor, so that a floor lost takes no other along.
 
@@ -106,7 +126,7 @@
         self.log_file = (self.folder / "parts.log").open("ab")
         self.record = Record(self.traffic, "conductor", "conductor")
         self.parts, self.gateways, self.doors, self.ids = [], {}, {}, {}
-        self.rows, self.codes, self.tasks = {}, [], set()
+        self.rows, self.codes, self.tasks, self.ports = {}, [], set(), Ports(day["seed"])
 
     def part(self, name):
         part = Part(name, self.log_file)
@@ -140,7 +160,7 @@
         self.builds = builds(day)
         self.farm = await self.part("hosts").start("stand-in", "hosts", given={
             "record": traffic, "catalogue": catalogue, "store": f"127.0.0.1:{at}", "seed": day["seed"],
-            "builds": self.builds,
+            "builds": self.builds, "names": [self.ports.take() for _ in self.builds],
             "scopes": {e["name"]: e["group"] for e in day["events"] if e["kind"] == "keyed"}})
         self.list = await self.part("list").start("stand-in", "roll", given={
             "record": traffic, "figures": {"notice": [1000 * n for n in day["list"]["notice"]],
@@ -165,7 +185,7 @@
         """One process for a group of gateways; after a crash on the same ports."""
         part, words = self.part("gateways " + " ".join(map(str, group))), []
         for number in group:
-            door = self.doors.get(number, "127.0.0.1:0")
+            door = self.doors.get(number) or self.ports.take()
             path = self.folder / f"g{number}.lease"
             path.write_text(show(lease_values(self.day, number, door, self.list_at, self.folder)) + "\n")
             words += ["--lease", str(path)]
@@ -243,7 +263,7 @@
 
     async def do_join(self, host, like):
         build = self.builds[self.like[host]]
-        [name] = await self.farm.tell("add", builds=[build], cold=True)
+        [name] = await self.farm.tell("add", builds=[build], names=[self.ports.take()], cold=True)
         self.ids[host] = name
         await self.row(host, name, "ready", time.time() * 1000, build)
 
--- a/tests/gateway/test_hard_cases.py
+++ b/tests/gateway/test_hard_cases.py
@@ -133,6 +133,18 @@
     assert client.all(m.Answer) == [] and not stack.shell.desk.taken
 
 
+@story
+async def test_a_launch_whose_event_is_over_ends_with_the_clients_time(stack):
+    host = Host()
+    client = await stack.start(host)
+    number = client.send(clause="archive", lasts=500.0)     # never recalled by the module: it may have run
+    await host.got(m.Launch)
+    client.end.write(m.Withdraw(number))
+    await stack.settled(lambda: stack.counts["clients left"])
+    assert len(await host.got(m.Recall)) == 1
+    await stack.settled(lambda: not stack.shell.desk.taken)
+
+
 @story
 async def test_a_list_that_empties_defers_and_recovers(stack):
     host = Host("handled")
