--- a/cherrydoor/rehearsal/conduct.py
+++ b/cherrydoor/rehearsal/conduct.py
@@ -1,6 +1,7 @@
 """Plays a day: starts every part as a process of its own, follows the steps of its troubles, and stops all of it."""
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -70,7 +71,8 @@
 
     def signal(self, number):
         if self.process and self.process.returncode is None:
-            os.killpg(self.process.pid, number)
+            with contextlib.suppress(ProcessLookupError):       # it ended a moment ago
+                os.killpg(self.process.pid, number)
 
     async def end(self, wait=5.0):
         """Lets it end by itself, then makes it."""
