--- a/cherrydoor/rehearsal/conduct.py
+++ b/cherrydoor/rehearsal/conduct.py
@@ -129,6 +129,7 @@
         self.record = Record(self.traffic, "conductor", "conductor")
         self.parts, self.gateways, self.doors, self.ids = [], {}, {}, {}
         self.rows, self.codes, self.tasks, self.ports = {}, [], set(), Ports(day["seed"])
+        self.replaced = set()
 
     def part(self, name):
         part = Part(name, self.log_file)
@@ -293,7 +294,8 @@
 
     async def do_start_gateway(self, gateway):
         part, group = self.mates(gateway)
-        if part.process.returncode is not None:
+        if part.process.returncode is not None and part not in self.replaced:
+            self.replaced.add(part)         # its mates are to be started at the same moment, and come along
             await self.start_gateways(group)
 
     async def do_stop_gateway(self, gateway):
