Admission: places for known clients, paces by network, fair reading, calm at the descriptor limit

Need: one misbehaving client, or a flood from many addresses, could keep every other client out: connections were bounded in number only after their hello, metrics were served by a thread that spins when descriptors are gone, and a host connection that found no descriptor was put down to the host.

Change: the gateway accepts by itself and asks cherrydoor/admission/decide.py for each connection: streets at three widths, a porch for those that have not said who they are, places of an office's own that nobody else takes, a line for its connections whose forerunners are not yet seen to have ended, a stair of steps near the limits, and max-min fair reading while the core is short. Descriptors are measured and divided at the start; one is held spare for hosts. Metrics go through the same admission, on the loop. A refusal says when to come back.

Result: under a flood from hundreds of loopback addresses, some silent, some with half a hello, a daemon with 256 descriptors seats every connect of a listed client and handles its events; one with 60 still opens host connections.

--- /dev/null
+++ b/cherrydoor/admission/decide.py
@@ -0,0 +1,801 @@
+"""Who is let in at the doors, who waits, who is refused and with what word, and who is closed to make room.
+
+Pure: the shell posts notes with the time, and carries out the actions that come back. Times in ms.
+
+A connection is a Caller. Until it has said who it is, it stands in the porch; then it has a place. Each Office (known
+client) has places of its own, which nobody else takes; what is left is common: offices beyond their own, and strangers.
+Counts per network are kept by Street, at three widths, so that many addresses of one owner count as one.
+
+Each part is an actor: Streets, Porch, Places, Stair and Flow. They talk by notes put into inboxes, which one loop in
+Guard.take empties. Tables: callers live as long as their connections; streets without callers age and are bounded in
+number; what is learned of offices' addresses is bounded for each office and ages.
+"""
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+from heapq import heapify, heappop, heappush
+from ipaddress import ip_address, ip_network
+from zlib import crc32
+
+WIDTHS = {4: (32, 24, 16), 6: (64, 48, 32)}     # an owner has a /64 at the least in IPv6
+PARTS = (1 / 8, 1 / 4, 1 / 2)                   # of the common places, that one street of each width may fill
+PACES = (1, 4, 8)                               # of the pace of one address, for each width
+MOST_STREETS = 4096                             # without callers, at each width
+LEARNED, LEARNED_AGE = 64, 12 * 3600 * 1000.0   # addresses by which an office is remembered, and for how long
+SWEEP, FLOW_WINDOW = 500.0, 100.0               # ms between looks at all callers, and at who reads how much
+FULL, BUSY, CALM = 0.85, 0.80, 0.60             # parts of a core's time: see Flow
+
+
+# ---- notes from the shell
+@dataclass(slots=True)
+class Knock:
+    """A connection has been accepted. `door` names the kind of listener, `sealed` says that it needs a handshake."""
+    caller: "Caller"
+    sealed: bool = False
+
+
+@dataclass(slots=True)
+class Shown:
+    """It has said who it is: an office that proved itself by certificate or token, or "" for anybody."""
+    caller: "Caller"
+    office: str
+
+
+@dataclass(slots=True)
+class Gone:
+    """The connection is closed, by whichever end."""
+    caller: "Caller"
+
+
+@dataclass(slots=True)
+class Poured:
+    """The caller has been read beyond what its group may within this window."""
+    caller: "Caller"
+
+
+@dataclass(slots=True)
+class Swollen:
+    """Bytes of unfinished frames have gone beyond what its group may hold."""
+    caller: "Caller"
+
+
+@dataclass(slots=True)
+class Exhausted:
+    """A call failed for want of descriptors; `needed` where a host connection is what waits for one."""
+    needed: bool
+
+
+@dataclass(slots=True)
+class Measured:
+    """Once each window: parts in use (0 to 1) of descriptors and of memory, and the part of the last window in which
+    the process had the core."""
+    descriptors: float
+    memory: float
+    busy: float
+
+
+@dataclass(slots=True)
+class Freed:
+    """From the places to the guard: one of this office's connections has ended."""
+    office: "Office"
+
+
+# ---- actions for the shell
+@dataclass(slots=True)
+class LetIn:
+    """Goes on to its handshake, or to its hello where there is none."""
+    caller: "Caller"
+
+
+@dataclass(slots=True)
+class Seat:
+    """It has a place; `largest` is the longest frame in bytes that is read from it."""
+    caller: "Caller"
+    largest: int
+
+
+@dataclass(slots=True)
+class Refuse:
+    """Not let in, or closed; it may come back after stay_away ms."""
+    caller: "Caller"
+    word: str
+    stay_away: float
+
+
+@dataclass(slots=True)
+class Pause:
+    """Nothing is read from it for a while."""
+    caller: "Caller"
+
+
+@dataclass(slots=True)
+class Resume:
+    caller: "Caller"
+
+
+@dataclass(slots=True)
+class Rest:
+    """Accept nothing for so long."""
+    span: float
+
+
+class Bucket:
+    """Leaks `pace` a second and holds `depth`; a drop goes in where there is room."""
+    __slots__ = ("level", "at")
+
+    def __init__(self, now):
+        self.level, self.at = 0.0, now
+
+    def wait(self, now, pace, depth):
+        """Ms until a drop has room; 0 where it has now."""
+        if now > self.at:       # a clock that is set back leaks nothing
+            self.level = max(0.0, self.level - (now - self.at) * pace / 1000)
+        self.at = now
+        return max(0.0, (self.level + 1 - depth) / pace * 1000)
+
+    def add(self):
+        self.level += 1
+
+
+class Group:
+    """What is shared by the connections of one office or, for strangers, of one address: reading and bytes held."""
+    __slots__ = ("read", "allowed", "held", "most_held", "callers", "paused", "whole")
+
+    def __init__(self, most_held, whole=None):
+        self.read, self.allowed, self.held, self.most_held, self.whole = 0, None, 0, most_held, whole
+        self.callers, self.paused = {}, False
+
+    def holds(self, more):
+        """Counts bytes of unfinished frames; True where the group, or all strangers together, hold too many."""
+        self.held += more
+        over = self.held > self.most_held
+        if self.whole is not None:
+            over = self.whole.holds(more) or over
+        return over
+
+
+class Office:
+    """A known client. `own` places are its alone, `most` is what it may have with common ones."""
+    __slots__ = ("name", "own", "most", "bucket", "group", "seated", "learned", "nets", "line")
+
+    def __init__(self, name, own, most, nets, most_held, now):
+        self.name, self.own, self.most = name, own, max(own, most)
+        self.nets = [ip_network(net, strict=False) for net in nets]
+        self.bucket, self.group, self.seated, self.learned = Bucket(now), Group(most_held), {}, OrderedDict()
+        self.line = deque()     # those that wait for a place: no more than `most`, none longer than a porch's time
+
+    def beyond(self):
+        """Common places that it holds."""
+        return max(0, len(self.seated) - self.own)
+
+
+class Street:
+    """A network as it is seen at one width."""
+    __slots__ = ("width", "key", "bucket", "porch", "seated", "group")
+
+    def __init__(self, width, key, now, group):
+        self.width, self.key, self.bucket = width, key, Bucket(now)
+        self.porch, self.seated, self.group = 0, {}, group
+
+
+class Caller:
+    """A connection. The shell keeps `used` (when last something came or was answered), `open` (events it waits for),
+    `partial` (since when a frame is unfinished, 0 for none) and `held` (bytes of it)."""
+    __slots__ = ("address", "streets", "office", "hinted", "state", "since", "used", "open", "partial", "held",
+                 "group", "wire", "slot", "sealed")
+
+    def __init__(self, address, now, wire=None):
+        self.address, self.since, self.used, self.wire = address, now, now, wire
+        self.streets, self.office, self.hinted, self.state = (), None, None, "new"
+        self.open, self.partial, self.held, self.group, self.slot, self.sealed = 0, 0.0, 0, None, 0, False
+
+
+@dataclass(slots=True)
+class Known:
+    """An office as handed over. `addresses` are networks by which it is known before it has said anything."""
+    name: str
+    own: int
+    most: int
+    addresses: tuple = ()
+
+
+@dataclass(slots=True)
+class Manners:
+    """What admission goes by. `places` is the number of connections in all. Paces are new connections a second,
+    bursts how many may come at once; times in ms; sizes in bytes."""
+    places: int
+    known: tuple = ()
+    pace: float = 20.0
+    burst: float = 60.0
+    office_pace: float = 200.0
+    handshakes: float = 200.0
+    porch_time: float = 5000.0
+    frame_time: float = 5000.0
+    idle: float = 5000.0
+    stranger_frame: int = 16 << 20
+    frame: int = 16 << 20
+    stranger_bytes: int = 32 << 20
+    strangers_bytes: int = 256 << 20
+    office_bytes: int = 64 << 20
+    seed: int = 1
+
+
+def divide(limit, used, gateways, hosts_most):
+    """Descriptors of one process: (for host connections, places for clients of each gateway, spare). Beside the places
+    stands a porch with an eighth as many.
+
+    limit: RLIMIT_NOFILE; used: those open at the start; hosts_most: host connections that the leases could ask for.
+    Hosts come first, with up to half of what is free; an eighth, 4 to 64, stays for files, the list and logs.
+
+    >>> divide(256, 16, 1, 80)
+    (80, 115, 30)
+    >>> divide(1024, 24, 2, 4000)
+    (500, 193, 64)
+    """
+    free = max(0, limit - used)
+    spare = min(64, max(4, free // 8))
+    hosts = min(hosts_most, free // 2)
+    return hosts, max(1, (free - spare - hosts) // max(1, gateways) * 8 // 9), spare
+
+
+def shares(wanted, room):
+    """Own places scaled down alike where they would take more than three quarters of the room; none below one.
+
+    >>> shares([10, 30], 100)
+    [10, 30]
+    >>> shares([100, 300], 100)
+    [18, 56]
+    """
+    most = room * 3 // 4
+    total = sum(wanted)
+    return list(wanted) if total <= most else [max(1, want * most // total) for want in wanted]
+
+
+class Streets:
+    """Who comes from where. At each width a table in order of use; a street without callers is forgotten when its
+    bucket has run dry, or when there are too many: an owner of many addresses then still meets the wider widths."""
+
+    def __init__(self, manners, now):
+        self.manners, self.tables = manners, (OrderedDict(), OrderedDict(), OrderedDict())
+        self.whole = Group(manners.strangers_bytes)
+
+    def of(self, address, now):
+        """The streets of an address, narrowest first."""
+        ip = ip_address(address)
+        if ip.version == 6 and ip.ipv4_mapped:
+            ip = ip.ipv4_mapped
+        bits = int(ip)
+        found = []
+        for width, size in enumerate(WIDTHS[ip.version]):
+            # loopback is one machine: all of 127.0.0.0/8 is one address there
+            key = (4, 127) if ip.version == 4 and bits >> 24 == 127 else (
+                ip.version, bits >> ((32 if ip.version == 4 else 128) - size))
+            table = self.tables[width]
+            street = table.get(key)
+            if street is None:
+                self.trim(table, now)
+                street = table[key] = Street(width, key, now, Group(self.manners.stranger_bytes, self.whole))
+            else:
+                table.move_to_end(key)
+            found.append(street)
+        return tuple(found)
+
+    def trim(self, table, now):
+        """Looks at the two longest unused: both may go, so that the table shrinks faster than it grows."""
+        for _ in range(min(2, len(table))):
+            key = next(iter(table))
+            street = table[key]
+            if street.porch or street.seated:
+                table.move_to_end(key)      # in use: at most as many as there are places
+            elif len(table) > MOST_STREETS or street.bucket.wait(now, self.pace(street), 1) == 0.0:
+                del table[key]
+            else:
+                return
+
+    def pace(self, street):
+        return self.manners.pace * PACES[street.width]
+
+    def wait(self, streets, now):
+        """Ms until all of these have room for one more; drops go into none of them before all have it."""
+        return max(street.bucket.wait(now, self.pace(street), self.manners.burst * PACES[street.width])
+                   for street in streets)
+
+
+class Stair:
+    """How near the limits are, in steps. Up at once; down one step at a time, when it has been calm for a while that
+    doubles each time it has to go up again soon after: guards against flip-flop. It harms strangers only."""
+    UP, DOWN, DWELL, LONGEST = (0.80, 0.90, 0.97), (0.70, 0.80, 0.90), 1000.0, 16000.0
+
+    def __init__(self, now):
+        self.step, self.calm_since, self.dwell, self.down_at = 0, now, self.DWELL, -1e18
+
+    def measured(self, now, part):
+        wanted = sum(part >= edge for edge in self.UP)
+        if wanted > self.step:
+            if now - self.down_at < 4 * self.dwell:
+                self.dwell = min(self.LONGEST, 2 * self.dwell)
+            self.step, self.calm_since = wanted, now
+        elif self.step and part >= self.DOWN[self.step - 1]:
+            self.calm_since = now
+        elif self.step and now - self.calm_since >= self.dwell:
+            self.step, self.calm_since, self.down_at = self.step - 1, now, now
+        elif not self.step and now - self.down_at > 8 * self.dwell:
+            self.dwell = max(self.DWELL, self.dwell / 2)
+            self.down_at = now
+
+
+class Flow:
+    """Who is read how much while the core is short. Guards others' target time against connections that pour events;
+    harms one that has a right to more than an equal part only while the core is short, and never below `LEAST`."""
+    LEAST = 2
+
+    def __init__(self):
+        self.level, self.groups, self.limited = None, {}, {}
+
+    def joined(self, caller):
+        caller.group.callers[caller] = True
+        self.groups[caller.group] = True
+        if caller.group.allowed is None and self.level is not None:
+            caller.group.allowed = self.level
+
+    def left(self, caller):
+        caller.group.callers.pop(caller, None)
+        if not caller.group.callers:
+            self.groups.pop(caller.group, None)
+            self.limited.pop(caller.group, None)
+            caller.group.paused, caller.group.read, caller.group.allowed = False, 0, None
+
+    def poured(self, group):
+        """Nothing more is read from the group in this window."""
+        if group.paused or group.allowed is None:
+            return []
+        group.paused = True
+        self.limited[group] = True
+        return [Pause(caller) for caller in group.callers]
+
+    def window(self, busy):
+        """A window is over: the level is set anew, and those who were paused are read again."""
+        read = [group.read for group in self.groups if group.read]
+        if busy > FULL and read:
+            # a group that was paused would have taken more than it got: its want is open-ended
+            wants = [float("inf") if g.paused else g.read for g in self.groups if g.read]
+            self.level = max(self.LEAST, fill(wants, sum(read) * BUSY / busy))
+        elif self.level is not None and busy < CALM:
+            self.level *= 1.25
+            if not self.limited and self.level > 2 * max(read, default=0):
+                self.level = None       # nobody has been near it: the step ends by itself
+        actions = []
+        for group in self.groups:
+            group.read, group.allowed = 0, None if self.level is None else int(self.level)
+        for group in self.limited:
+            group.paused = False
+            actions += [Resume(caller) for caller in group.callers]
+        self.limited = {}
+        return actions
+
+
+def fill(wants, room):
+    """The level up to which each may be served so that all of the room is used: max-min fairness.
+
+    >>> fill([1, 2, 10, float("inf")], 13)
+    5.0
+    >>> fill([1, 2], 10)
+    2
+    """
+    level, left = 0, room
+    wants = sorted(wants)
+    for i, want in enumerate(wants):
+        equal = left / (len(wants) - i)
+        if want >= equal:
+            return equal
+        level, left = want, left - want
+    return level
+
+
+class Places:
+    """Every place passes through take(): the one spot where the offices' own are kept from all others."""
+
+    def __init__(self, manners, now):
+        self.manners = manners
+        self.porch_most = max(2, manners.places // 8)
+        own = shares([known.own for known in manners.known], manners.places)
+        self.offices = {known.name: Office(known.name, n, known.most, known.addresses, manners.office_bytes, now)
+                        for known, n in zip(manners.known, own, strict=True)}
+        self.common = max(0, manners.places - sum(own))
+        self.strangers, self.idle, self.serial = {}, [], 0
+
+    def used(self):
+        """Common places that are taken."""
+        return len(self.strangers) + sum(office.beyond() for office in self.offices.values())
+
+    def take(self, caller, now, step):
+        """(a refusal's word or "", callers to be closed to make room)."""
+        if caller.office is not None:
+            return self.take_office(caller, caller.office, now)
+        for street in caller.streets:
+            if len(street.seated) >= max(1, int(self.common * PARTS[street.width])):
+                victim = self.longest(street.seated, now)
+                if victim is None:
+                    return "too many connections from this network", []
+                return self.strange(caller, [victim])
+        if step >= 2:
+            return "no new clients for the moment", []
+        if self.used() < self.common:
+            return self.strange(caller, [])
+        victim = self.idlest(now)
+        if victim is None:
+            return "no place is free", []
+        return self.strange(caller, [victim])
+
+    def strange(self, caller, victims):
+        self.strangers[caller] = True
+        for street in caller.streets:
+            street.seated[caller] = True
+        self.serial += 1
+        heappush(self.idle, (caller.used, self.serial, caller))
+        return "", victims
+
+    def take_office(self, caller, office, now):
+        held, victims = len(office.seated), []
+        if held >= office.own and (held >= office.most or self.used() >= self.common):
+            # beyond its own: a stranger that idles makes room, else one of its own that does, as after a lost floor
+            # whose connections look alive
+            victim = self.idlest(now) if held < office.most else None
+            victim = victim or self.longest(office.seated, now)
+            if victim is None:
+                return "as many connections are open as this client may have", []
+            victims = [victim]
+        office.seated[caller] = True
+        return "", victims
+
+    def leave(self, caller):
+        if caller.office is not None:
+            caller.office.seated.pop(caller, None)
+        elif self.strangers.pop(caller, None):
+            for street in caller.streets:
+                street.seated.pop(caller, None)
+            if len(self.idle) > 2 * len(self.strangers) + 64:
+                self.idle = [entry for entry in self.idle if entry[2] in self.strangers]
+                heapify(self.idle)
+
+    def longest(self, callers, now):
+        """The longest idle of these, if any is idle."""
+        found = [c for c in callers if c.state == "seated" and not c.open and now - c.used >= self.manners.idle / 5]
+        return min(found, key=lambda c: (c.used, c.since), default=None)
+
+    def idlest(self, now):
+        """The longest idle stranger of all; entries whose caller was used since are put back where they belong."""
+        for _ in range(len(self.idle)):
+            used, _, caller = self.idle[0]
+            if caller not in self.strangers or caller.state != "seated":
+                heappop(self.idle)
+            elif caller.open or caller.used > used:
+                heappop(self.idle)
+                self.serial += 1
+                heappush(self.idle, (max(caller.used, now if caller.open else 0.0), self.serial, caller))
+            else:
+                return caller if now - used >= self.manners.idle else None
+        return None
+
+
+class Porch:
+    """Those that have not said who they are. `unshown` holds all of them in order of arrival, `slots` those that have
+    a porch place, `lines` those that wait for a handshake: offices first."""
+
+    def __init__(self, manners, most, now):
+        self.manners, self.most, self.drawn = manners, most, 0
+        self.unshown, self.slots, self.lines, self.bucket = OrderedDict(), [], (deque(), deque()), Bucket(now)
+
+    def chance(self):
+        self.drawn += 1
+        return crc32(f"porch/{self.manners.seed}/{self.drawn}".encode()) / 2.0**32
+
+    def enter(self, caller):
+        """Takes a porch place; whoever has to leave for it, or None.
+
+        Of some drawn by chance the one goes whose network fills the porch most. Chance guards against those that hold
+        their places just as long as they may: one that says who it is at once is rarely in the way of the draw."""
+        victim = None
+        if len(self.slots) >= self.most:
+            drawn = [self.slots[int(self.chance() * len(self.slots))] for _ in range(4)]
+            victim = max(drawn, key=lambda c: (c.hinted is None, c.streets[2].porch, c.streets[0].porch))
+            self.leave(victim)
+        caller.slot = len(self.slots)
+        self.slots.append(caller)
+        for street in caller.streets:
+            street.porch += 1
+        return victim
+
+    def leave(self, caller):
+        slots, at = self.slots, caller.slot
+        if at < len(slots) and slots[at] is caller:
+            last = slots.pop()
+            if last is not caller:
+                slots[at], last.slot = last, at
+            for street in caller.streets:
+                street.porch -= 1
+
+    def patience(self, step):
+        return self.manners.porch_time / (1, 2, 5, 10)[step]
+
+    def overdue(self, now, step):
+        found, wait = [], self.patience(step)
+        for caller in self.unshown:
+            if now - caller.since < wait:
+                break
+            found.append(caller)
+        return found
+
+    def next_in_line(self, now):
+        """Who may begin a handshake now."""
+        for line in self.lines:
+            while line:
+                if line[0].state != "waiting":
+                    line.popleft()
+                elif self.bucket.wait(now, self.manners.handshakes, max(4.0, self.manners.handshakes / 10)) > 0:
+                    return None
+                else:
+                    self.bucket.add()
+                    return line.popleft()
+        return None
+
+    def waiting(self):
+        return any(self.lines)
+
+
+class Guard:
+    """One gateway's doors. take(now, note) gives actions; `counts` says how often which word was said."""
+
+    def __init__(self, manners, now):
+        self.manners, self.now = manners, now
+        self.places = Places(manners, now)
+        self.porch = Porch(manners, self.places.porch_most, now)
+        self.streets, self.stair, self.flow = Streets(manners, now), Stair(now), Flow()
+        self.all_strangers = Bucket(now)
+        self.inbox, self.actions, self.counts, self.swept = deque(), [], {}, now
+        self.rest, self.rested = 50.0, now
+        self.hear = {Knock: self.knock, Shown: self.shown, Gone: self.gone, Poured: self.poured,
+                     Swollen: self.swollen, Exhausted: self.exhausted, Measured: self.measured,
+                     Freed: self.freed}
+
+    def take(self, now, note):
+        """All that follows from one note. A clock that is set back stands still here."""
+        self.now = now = max(now, self.now)
+        self.inbox.append(note)
+        while self.inbox:
+            note = self.inbox.popleft()
+            self.hear[type(note)](note)
+        actions, self.actions = self.actions, []
+        return actions
+
+    def do(self, action):
+        self.actions.append(action)
+
+    def count(self, what):
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    # ---- a connection's way in
+    def knock(self, note):
+        caller, now = note.caller, self.now
+        caller.sealed = note.sealed
+        caller.streets = self.streets.of(caller.address, now)
+        office = caller.office = self.listed(caller.address)
+        caller.hinted = office or self.remembered(caller.address)
+        if caller.hinted is not None:
+            wait = caller.hinted.bucket.wait(now, self.manners.office_pace, self.burst_of(caller.hinted))
+            if wait > 0:
+                return self.turn_away(caller, "this client connects too often", wait)
+            caller.hinted.bucket.add()
+        else:
+            if self.stair.step >= 3:
+                return self.turn_away(caller, "no new clients for the moment", 2 * self.stair.dwell)
+            wait = max(self.streets.wait(caller.streets, now),
+                       self.all_strangers.wait(now, 16 * self.manners.pace, 16 * self.manners.burst))
+            if wait > 0:
+                return self.turn_away(caller, "too many new connections from this network", wait)
+            self.all_strangers.add()
+            for street in caller.streets:
+                street.bucket.add()
+        if office is not None:
+            word, victims = self.places.take(caller, now, self.stair.step)
+            if word:
+                caller.office = None
+                if len(office.line) >= office.most:
+                    return self.turn_away(caller, word, self.manners.idle / 5)
+                # its old connections may have ended already where nobody has seen it yet: it waits for that
+                office.line.append(caller)
+                caller.state, self.porch.unshown[caller] = "waiting", True
+                return
+            self.make_room(victims)
+        elif victim := self.porch.enter(caller):
+            self.close(victim, "others need the porch", 250.0)
+        self.porch.unshown[caller] = True
+        self.go_on(caller)
+
+    def go_on(self, caller):
+        if caller.sealed:
+            caller.state = "waiting"
+            self.porch.lines[caller.hinted is None].append(caller)
+            self.advance()
+        else:
+            caller.state = "porch"
+            self.do(LetIn(caller))
+
+    def freed(self, note):
+        """The next in the office's line takes the place."""
+        line = note.office.line
+        while line:
+            caller = line[0]
+            if caller.state == "waiting":
+                caller.office = note.office
+                word, victims = self.places.take(caller, self.now, self.stair.step)
+                if word:
+                    caller.office = None
+                    return
+                self.make_room(victims)
+                self.go_on(caller)
+            line.popleft()
+
+    def advance(self):
+        while (caller := self.porch.next_in_line(self.now)) is not None:
+            caller.state = "porch"
+            self.do(LetIn(caller))
+
+    def burst_of(self, office):
+        """All of an office's connections may come back at once, twice over."""
+        return max(2.0 * office.most, self.manners.burst)
+
+    def listed(self, address):
+        ip = ip_address(address)
+        ip = getattr(ip, "ipv4_mapped", None) or ip
+        for office in self.places.offices.values():
+            if any(ip in net for net in office.nets):
+                return office
+        return None
+
+    def remembered(self, address):
+        """An office that proved itself from this very address not long ago; it still has to, but need not queue with
+        strangers. Guards an office without listed addresses against a flood from its own network."""
+        for office in self.places.offices.values():
+            at = office.learned.get(address)
+            if at is not None:
+                if self.now - at < LEARNED_AGE:
+                    return office
+                del office.learned[address]
+        return None
+
+    def shown(self, note):
+        caller, now = note.caller, self.now
+        if caller.state != "porch":
+            return
+        self.porch.unshown.pop(caller, None)
+        self.porch.leave(caller)
+        office = self.places.offices.get(note.office)
+        if office is not None:
+            office.learned[caller.address] = now
+            office.learned.move_to_end(caller.address)
+            while len(office.learned) > LEARNED:
+                office.learned.popitem(last=False)
+        if caller.office is not None and office is not None and office is not caller.office:
+            # what is proved goes before where it comes from
+            self.places.leave(caller)
+            caller.office = None
+        if caller.office is None:
+            caller.office = office
+            word, victims = self.places.take(caller, now, self.stair.step)
+            if word:
+                caller.office = None
+                return self.turn_away(caller, word, max(500.0, self.stair.dwell))
+            self.make_room(victims)
+        caller.state, caller.used = "seated", now
+        caller.group = caller.office.group if caller.office else caller.streets[0].group
+        self.flow.joined(caller)
+        self.count("seated: known" if caller.office else "seated: strangers")
+        self.do(Seat(caller, self.manners.frame if caller.office else self.manners.stranger_frame))
+
+    def make_room(self, victims):
+        for victim in victims:
+            self.close(victim, "idle, and others need the place", 1000.0)
+
+    # ---- the way out
+    def turn_away(self, caller, word, stay_away):
+        self.count(f"refused: {word}")
+        self.forget(caller)
+        self.do(Refuse(caller, word, stay_away))
+
+    def close(self, caller, word, stay_away):
+        """The place is free from now on; the connection's end itself then tells nothing new."""
+        self.count(f"closed: {word}")
+        self.forget(caller)
+        self.do(Refuse(caller, word, stay_away))
+
+    def gone(self, note):
+        self.forget(note.caller)
+
+    def forget(self, caller):
+        """The one place where a caller stops being counted."""
+        if caller.state == "over":
+            return
+        self.porch.unshown.pop(caller, None)
+        self.porch.leave(caller)
+        self.places.leave(caller)
+        if caller.office is not None and caller.office.line:
+            self.inbox.append(Freed(caller.office))
+        if caller.group is not None:
+            caller.group.holds(-caller.held)
+            caller.held = 0
+            self.flow.left(caller)
+        caller.state = "over"
+
+    # ---- what goes on
+    def poured(self, note):
+        if note.caller.state == "seated":
+            for action in self.flow.poured(note.caller.group):
+                self.do(action)
+            self.count("read less")
+
+    def swollen(self, note):
+        """The one that holds most goes: the bytes are freed at once."""
+        group = note.caller.group
+        if note.caller.state != "seated":
+            return
+        if group.held > group.most_held:
+            self.close(max(group.callers, key=lambda c: (c.held, c.since)), "too many bytes are unfinished", 1000.0)
+        elif group.whole is not None and group.whole.held > group.whole.most_held:
+            self.close(max(self.places.strangers, key=lambda c: (c.held, c.since)), "too many bytes are unfinished",
+                       1000.0)
+
+    def exhausted(self, note):
+        """Descriptors ran out at a call. A host connection is worth an idle stranger, else one in the porch, else any
+        stranger. Accepting rests, longer each time it is met again soon."""
+        self.count("descriptors ran out")
+        victim = self.places.idlest(self.now) or (self.porch.slots[0] if self.porch.slots else None)
+        if victim is None and note.needed:
+            victim = max(self.places.strangers, key=lambda c: (not c.open, -c.used), default=None)
+        if victim is not None:
+            self.close(victim, "descriptors have run out", 2000.0)
+        self.rest = min(1000.0, 2 * self.rest) if self.now - self.rested < 4 * self.rest else 50.0
+        self.rested = self.now
+        if not note.needed:
+            self.do(Rest(self.rest))
+
+    def measured(self, note):
+        now, porch = self.now, self.porch
+        handshakes = sum(map(len, porch.lines)) / max(8.0, self.manners.handshakes)
+        self.stair.measured(now, max(note.descriptors, note.memory, handshakes))
+        self.advance()
+        for caller in porch.overdue(now, self.stair.step):
+            self.close(caller, "no hello in time", 1000.0)
+        for action in self.flow.window(note.busy):
+            self.do(action)
+        if now - self.swept >= SWEEP:
+            self.swept = now
+            self.sweep(now)
+
+    def sweep(self, now):
+        """Frames that never end; and what has aged is let go, a little each time."""
+        since = now - self.manners.frame_time
+        for caller in [caller for caller in self.callers() if caller.partial and caller.partial < since]:
+            self.close(caller, "a frame was not finished in time", 1000.0)
+        for table in self.streets.tables:
+            for _ in range(32):
+                before = len(table)
+                if before:
+                    self.streets.trim(table, now)
+                if len(table) == before:
+                    break
+
+    def figures(self):
+        """What an operator watches, as (name, figure)."""
+        yield from (("step of the stair", self.stair.step), ("places: common", self.places.common),
+                    ("places: common used", self.places.used()), ("porch", len(self.porch.slots)),
+                    ("unshown", len(self.porch.unshown)), ("read level", self.flow.level or 0),
+                    ("streets", sum(map(len, self.streets.tables))))
+        for office in self.places.offices.values():
+            yield f"places of {office.name}", len(office.seated)
+
+    def callers(self):
+        """All that have a place."""
+        yield from self.places.strangers
+        for office in self.places.offices.values():
+            yield from office.seated
--- a/cherrydoor/ends.py
+++ b/cherrydoor/ends.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from typing import Any
 
 from cherrydoor.frames import codec
 from cherrydoor.frames import messages as m
@@ -12,10 +13,12 @@
 HELLO_WAIT = 5.0                # s that a peer may take to say who it is
 
 
-class End(asyncio.Protocol):
+class End(asyncio.BaseProtocol):
     """kinds: what is taken; hello: a callable that makes ours; the owner has greeted(end, hello), heard(end, message)
     and lost(end). `why` says why it ended, '' where the peer closed."""
 
+    transport: Any
+
     def __init__(self, owner, kinds, hello, most_waiting=MOST_WAITING, largest=m.LARGEST):
         self.owner, self.hello, self.most_waiting = owner, hello, most_waiting
         self.reader, self.transport, self.why, self.largest = codec.Reader(kinds, largest), None, "", m.LARGEST
@@ -30,8 +33,12 @@
             self.close(f"no hello within {HELLO_WAIT:g} s")
 
     def data_received(self, data):
-        owner = self.owner
-        for message in self.reader.feed(data):
+        self.take(data)
+
+    def take(self, data):
+        """The number of messages in it."""
+        owner, messages = self.owner, self.reader.feed(data)
+        for message in messages:
             kind = type(message)
             if kind is m.Hello:
                 self.timer.cancel()
@@ -40,11 +47,12 @@
             elif kind is m.Fault:
                 self.why = self.why or f"peer: {message.reason}"
                 self.transport.close()
-                return
+                return 0
             else:
                 owner.heard(self, message)
         if self.reader.fault:
             self.close(self.reader.fault)
+        return len(messages)
 
     def write(self, message):
         """A frame too large for the peer is left out, and the caller told by BadFrame."""
@@ -58,12 +66,12 @@
         if transport.get_write_buffer_size() > self.most_waiting:
             self.abort("the peer reads too slowly")
 
-    def close(self, reason=""):
-        """With a reason the peer is told it first."""
+    def close(self, reason="", stay_away=0.0):
+        """With a reason the peer is told it first, and how long to stay away."""
         if self.transport is not None and not self.transport.is_closing():
             if reason:
                 self.why = self.why or reason
-                self.transport.write(codec.encode(m.Fault(reason[:1000])))
+                self.transport.write(codec.encode(m.Fault(reason[:1000], stay_away)))
             self.transport.close()
 
     def abort(self, why=""):
--- a/cherrydoor/frames/codec.py
+++ b/cherrydoor/frames/codec.py
@@ -43,10 +43,12 @@
     """Bytes in, messages out, for one direction of one connection.
 
     kinds: the message types that this end takes; largest: the longest body, in bytes. A hello must come first and
-    come once; it is checked here, so that no end has to. `hello` holds it, `fault` the reason once there is one.
+    come once; it is checked here, so that no end has to. `hello` holds it, `fault` the reason once there is one. With
+    `halts` it gives the hello alone, and the rest at the next feed: what it may be depends on who says hello.
     """
 
-    def __init__(self, kinds, largest=messages.LARGEST):
+    def __init__(self, kinds, largest=messages.LARGEST, halts=False):
+        self.halts = halts
         self.decode = _decoder(kinds).decode
         self.largest, self.held, self.need = largest, bytearray(), PREFIX
         self.hello = self.fault = None
@@ -75,6 +77,9 @@
                 else:
                     at = start + size
                     self._body(view[start:at], found)
+                    if self.halts and self.hello is not None:
+                        self.halts, self.need = False, PREFIX
+                        break
         del held[:at if self.fault is None else len(held)]
         return found
 
--- a/cherrydoor/frames/messages.py
+++ b/cherrydoor/frames/messages.py
@@ -38,11 +38,13 @@
     since: Time = 0.0           # a host's start, 0 elsewhere
     largest: Count = LARGEST    # the longest body that the sender of this takes
     most: Count = 0             # events or launches that it takes at once; 0 says nothing
+    token: Annotated[str, Meta(max_length=4096)] = ""       # a client's word on who it is, signed (docs/keys.md)
 
 
 class Fault(Message, tag="fault"):
-    """Last on a connection: why the sender closes it."""
+    """Last on a connection: why the sender closes it, and how long to stay away."""
     reason: Text
+    stay_away: Span = 0.0
 
 
 class Leaving(Message, tag="leaving"):
--- a/cherrydoor/gateway/daemon.py
+++ b/cherrydoor/gateway/daemon.py
@@ -9,9 +9,12 @@
 
 import structlog
 import uvloop
-from prometheus_client import CollectorRegistry, start_http_server
+from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
+from cherrydoor.admission.decide import divide
+from cherrydoor.admission.listener import Listener, Uses
+from cherrydoor.gateway.metrics import Asked
 from cherrydoor.gateway.shell import Shell, address
 from cherrydoor.lease.figures import lease_of
 from cherrydoor.lease.records import Problems
@@ -31,10 +34,11 @@
         now = GaugeMetricFamily("cherrydoor_now", "What a gateway holds", labels=["gateway", "what"])
         for shell in self.shells:
             name, desk = shell.figures.name, shell.desk
-            for what, count in list(desk.counts.items()):
+            for what, count in [*desk.counts.items(), *shell.hall.guard.counts.items()]:
                 told.add_metric([name, what], count)
             for what, count in (("events", len(desk.taken)), ("hosts", len(desk.hosts)),
-                                ("clients", len(desk.clients)), ("alarms", len(desk.alarms))):
+                                ("clients", len(desk.clients)), ("alarms", len(desk.alarms)),
+                                *shell.hall.guard.figures()):
                 now.add_metric([name, what], count)
         yield told
         yield now
@@ -47,8 +51,13 @@
 
     async def run(self, figures):
         loop = asyncio.get_running_loop()
+        uses = Uses(min(one.memory for one in figures))
+        hosts, places, spare = divide(uses.limit, uses.used() + 2 * len(figures), len(figures),
+                                      sum(one.terms.links * 256 for one in figures))
+        log.info("descriptors are divided", limit=uses.limit, used=uses.used(), hosts=hosts, places_of_each=places,
+                 spare=spare)
         for one in figures:
-            shell = Shell(one, self.make_gate)
+            shell = Shell(one, self.make_gate, uses, places)
             self.shells.append(shell)
             try:
                 await shell.start()
@@ -63,9 +72,9 @@
         if figures[0].metrics:
             registry = CollectorRegistry()
             registry.register(Counts(self.shells))
-            host, port = address(figures[0].metrics)
             try:
-                start_http_server(port, host, registry)
+                Listener(self.shells[0].hall, address(figures[0].metrics),
+                         lambda arrival: Asked(arrival, lambda: generate_latest(registry)))
             except OSError as error:
                 log.error("the metrics' port is taken", metrics=figures[0].metrics, error=str(error))
                 return PORT_TAKEN
--- a/cherrydoor/gateway/shell.py
+++ b/cherrydoor/gateway/shell.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import time
+from dataclasses import replace
 from math import ceil
 
 import msgspec
 import structlog
 
 from cherrydoor import interface as io
+from cherrydoor.admission import decide as d
+from cherrydoor.admission.listener import CHUNK, NO_DESCRIPTORS, Hall, Listener, Read, Uses
 from cherrydoor.ends import End
 from cherrydoor.frames import codec
 from cherrydoor.frames import messages as m
@@ -32,12 +35,27 @@
         return time.monotonic() * 1000 + self.ahead
 
 
-class ClientEnd(End):
-    """A client at the door."""
+HELLO = 8192        # bytes of the longest hello that is read
 
-    def __init__(self, shell):
-        super().__init__(shell.door, m.FROM_CLIENT, shell.hello, shell.bounds.client_bytes, shell.bounds.frame)
+
+class ClientEnd(Read, End):
+    """A client at the door: at first only a short hello is read from it."""
+
+    def __init__(self, shell, arrival):
+        super().__init__(shell.door, m.FROM_CLIENT, shell.hello, shell.bounds.client_bytes, HELLO)
+        self.reader.halts, self.arrival, self.chunk = True, arrival, bytearray(CHUNK)
         self.client = Client(self)
+        arrival.caller.open, arrival.end = self.client.open, self
+
+    def data_received(self, data):
+        heard = self.take(data)
+        if heard and self.reader.held and self.arrival.caller.state == "seated" and not self.reader.fault:
+            heard += self.take(b"")         # what came along with the hello
+        self.holds(len(self.reader.held), heard)
+
+    def seated(self, largest):
+        self.reader.largest = min(largest, self.owner.shell.bounds.frame)
+        self.owner.seated(self)
 
 
 class Door:
@@ -48,11 +66,11 @@
         shell = self.shell
         if hello.role != "client":
             return end.close(f"a client is expected here, not a {hello.role}")
-        if len(self.ends) >= shell.bounds.connections:
-            shell.desk.counts["connections refused"] += 1
-            return end.close("as many connections are open as may be")
+        shell.hall.post(d.Shown(end.arrival.caller, ""))
+
+    def seated(self, end):
         self.ends.add(end)
-        shell.post(shell.desk.came_in, end.client, hello)
+        self.shell.post(self.shell.desk.came_in, end.client, end.reader.hello)
 
     def heard(self, end, message):
         shell = self.shell
@@ -60,10 +78,16 @@
             return
         if type(message) is m.Event:
             shell.post(shell.desk.came, end.client, message)
+            caller = end.arrival.caller
+            group = caller.group
+            group.read += 1
+            if group.allowed is not None and group.read >= group.allowed and not group.paused:
+                shell.hall.post(d.Poured(caller))
         else:
             shell.post(shell.desk.withdrawn, end.client, message.id)
 
     def lost(self, end):
+        self.shell.hall.post(d.Gone(end.arrival.caller))
         if end in self.ends:
             self.ends.discard(end)
             self.shell.post(self.shell.desk.went, end.client)
@@ -100,8 +124,16 @@
         shell = self.shell
         try:
             async with asyncio.timeout(shell.desk.terms.connect / 1000):
-                await asyncio.get_running_loop().create_connection(
-                    lambda: HostEnd(shell, link), *address(link.host.id))
+                while True:
+                    try:
+                        await asyncio.get_running_loop().create_connection(
+                            lambda: HostEnd(shell, link), *address(link.host.id))
+                        break
+                    except OSError as error:
+                        if error.errno not in NO_DESCRIPTORS:
+                            raise
+                        shell.hall.needs_descriptor()
+                        await asyncio.sleep(0.002)      # the closing takes effect in the loop's next pass
         except (TimeoutError, OSError, ValueError):
             shell.post(shell.desk.unlinked, link)
 
@@ -224,12 +256,19 @@
 class Shell:
     """One gateway: its sockets, its clock and the turn."""
 
-    def __init__(self, figures, gate):
+    def __init__(self, figures, gate, uses=None, places=None):
+        """uses: what the process has in use, shared by its gateways; places: connections that there are descriptors
+        for."""
         self.figures, self.bounds, self.clock = figures, figures.bounds, Clock()
         self.loop, self.timer, self.timer_at, self.asked = asyncio.get_running_loop(), None, 0.0, False
         self.door, self.floor = Door(self), Floor(self)
         self.roll = Roll(self, figures.list_at, figures.saved, figures.lease.asks)
-        self.make_gate, self.server, self.broken = gate, None, 0
+        self.make_gate, self.broken = gate, 0
+        self.uses, self.own_uses = uses or Uses(figures.memory), uses is None
+        manners = figures.manners
+        if places is not None:
+            manners = replace(manners, places=min(places, manners.places))
+        self.hall = Hall(manners, self.clock, self.uses)
         self.done = self.loop.create_future()
         self.desk = self.new_desk()
 
@@ -246,9 +285,7 @@
         if saved is not None:
             self.post(self.desk.listed, io.SAVED, saved)
         self.roll.start()
-        host, port = address(self.figures.door)
-        self.server = await self.loop.create_server(lambda: ClientEnd(self), host, port, backlog=1024)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.port = Listener(self.hall, address(self.figures.door), lambda arrival: ClientEnd(self, arrival)).port
         self.set_timer()
 
     # ---- the turn: all callbacks of one pass of the loop share it
@@ -310,7 +347,7 @@
             self.done.set_result(3)
 
     async def stop(self):
-        self.server.close()
+        self.hall.close()
         self.roll.task.cancel()
         for end in list(self.door.ends):
             end.close()
@@ -321,4 +358,6 @@
         if self.timer:
             self.timer.cancel()
         self.roll.save()
+        if self.own_uses:
+            self.uses.close()
         await asyncio.sleep(0)
--- a/cherrydoor/lease/figures.py
+++ b/cherrydoor/lease/figures.py
@@ -1,9 +1,11 @@
 """A lease as read, turned into the few things that a gateway goes by."""
 
 from importlib import resources
+from ipaddress import ip_network
 from pathlib import Path
 
 from cherrydoor import interface as io
+from cherrydoor.admission.decide import Known, Manners
 from cherrydoor.lease.records import Duration, Problem, Problems, Size, read
 
 
@@ -62,6 +64,7 @@
         self.name, self.door, self.list_at = said["name"], said["door"], said["list"]
         self.saved = Path(said["saved"]) if said["saved"] else None
         self.metrics = said["metrics"]
+        self.manners, self.memory = manners_of(said), said["admission"]["memory"]
         self.bounds = Bounds(bounds)
         self.terms = Terms(bounds["spare"], bounds["open_events"], bounds["launches_on_a_link"],
                            bounds["links_to_a_host"], bounds["connect"], bounds["idle"], bounds["probe"],
@@ -75,6 +78,16 @@
             said["misses"], ration["free"], ration["share"], ration["within"])
 
 
+def manners_of(said):
+    """What the doors go by."""
+    door, bounds = said["admission"], said["bounds"]
+    known = tuple(Known(one["name"], one["places"], one["most"] or 2 * one["places"], tuple(one["addresses"]))
+                  for one in door["known"])
+    return Manners(bounds["connections"], known, door["pace"], door["burst"], door["known_pace"], door["handshakes"],
+                   door["hello"], door["unfinished"], door["idle"], door["stranger_frame"], bounds["frame"],
+                   door["stranger_bytes"], door["strangers_bytes"], door["known_bytes"], said["seed"])
+
+
 def problems_of(said, file):
     """What no single field shows: addresses that are none, doubled names, a number beyond the count."""
     found = []
@@ -88,6 +101,14 @@
         good = host and port.isdigit() and int(port) < 65536
         check(good or path == "metrics" and not said[path], path, "an address:port", repr(said[path]))
     check(said["number"] < said["gateways"], "number", f"a number below {said['gateways']} gateways", said["number"])
+    for i, known in enumerate(said["admission"]["known"]):
+        for net in known["addresses"]:
+            try:
+                ip_network(net, strict=False)
+            except ValueError:
+                check(False, f"admission.known.{i}.addresses", "networks such as 10.1.0.0/16 or 2001:db8::/48", net)
+    names = [known["name"] for known in said["admission"]["known"]]
+    check(len(set(names)) == len(names), "admission.known", "names that differ", " ".join(names))
     for path in ("clauses", "parties"):
         names = [entry["name"] for entry in said[path]]
         check(len(set(names)) == len(names), path, "names that differ", " ".join(names))
--- /dev/null
+++ b/tests/admission/test_flood.py
@@ -0,0 +1,190 @@
+"""Floods on real sockets: what is judged is what the known clients and the flood itself get."""
+
+import asyncio
+import json
+import resource
+import socket
+import sys
+
+from stack import Host, environment, now, story
+from test_process import Daemon, Ended, given, with_folder
+
+from cherrydoor.admission import decide as d
+from cherrydoor.ends import End
+from cherrydoor.frames import codec
+from cherrydoor.frames import messages as m
+
+HARBOUR = 'admission: {known: [{name: "harbour", places: 20, most: 30, addresses: ["127.200.0.0/16"]}]}\n'
+
+
+async def few_descriptors(stack, lease, most=256):
+    """The daemon with so many descriptors."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "cherrydoor", "gateway", "--lease", str(lease), "--announce", "--tied",
+        stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+        env=environment(), preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (most, most)))
+    stack.opened.append(Ended(process))
+    daemon = Daemon(process, [])
+    daemon.port = json.loads(await process.stdout.readline())["port"]
+    await stack.list.got(m.Heard)
+    return daemon
+
+
+class Flood:
+    """Raw connections from many addresses of loopback, again and again: some say nothing, some half a hello, some a
+    whole one. It goes on until stopped."""
+
+    def __init__(self, port, wide=300):
+        self.port, self.wide, self.sockets, self.opened, self.told = port, wide, [], 0, 0
+        self.task = asyncio.get_running_loop().create_task(self.pour())
+
+    async def pour(self):
+        hello = codec.encode(m.Hello(m.VERSION, "client", "x", now()))
+        while True:
+            for _ in range(20):
+                one = socket.socket()
+                one.setblocking(False)
+                one.bind((f"127.{1 + self.opened % 100}.{self.opened % self.wide % 250}.7", 0))
+                try:
+                    one.connect(("127.0.0.1", self.port))
+                except BlockingIOError:
+                    pass
+                except OSError:
+                    one.close()
+                    continue
+                self.sockets.append((one, (b"", hello[:9], hello)[self.opened % 3]))
+                self.opened += 1
+            await asyncio.sleep(0.002)
+            for one, said in self.sockets[-20:]:
+                try:
+                    one.send(said)
+                except OSError:
+                    pass
+            while len(self.sockets) > 1500:
+                old, _ = self.sockets.pop(0)
+                try:
+                    self.told += b"fault" in old.recv(4096)
+                except OSError:
+                    pass
+                old.close()
+
+    def stop(self):
+        self.task.cancel()
+        for one, _ in self.sockets:
+            one.close()
+
+    async def beyond(self, count):
+        until = self.opened + count
+        while self.opened < until:
+            assert not self.task.done()
+            await asyncio.sleep(0.005)
+
+
+async def known(stack, port, name="127.200.0.1"):
+    """A client from that address, or None where it was not let in."""
+    from stack import Client
+    client = Client()
+    client.shut = asyncio.get_running_loop().create_future()
+    try:
+        _, client.end = await asyncio.get_running_loop().create_connection(
+            lambda: End(client, m.TO_CLIENT, lambda: m.Hello(m.VERSION, "client", "harbour", now())),
+            "127.0.0.1", port, local_addr=(name, 0))
+    except OSError:
+        return None
+    await client.until(lambda: client.ends or client.lost_ends)
+    stack.opened.append(client)
+    return client
+
+
+@with_folder
+async def test_a_flood_up_to_the_descriptor_limit_keeps_no_known_client_out(stack, tmp):
+    hosts = [Host("handled") for _ in range(4)]
+    daemon = await few_descriptors(stack, await given(stack, tmp, *hosts, more="bounds: {}\n" + HARBOUR))
+    flood = Flood(daemon.port)
+    await flood.beyond(1600)
+    clients = []
+    for i in range(20):
+        await flood.beyond(40)
+        clients.append(await known(stack, daemon.port))
+        client = clients[-1]
+        answer = await client.answer(client.send(f"deed {i}", lasts=4000.0))
+        assert answer.fate == "handled"
+    assert not any(c.lost_ends for c in clients), "each of them keeps its place"
+    flood.stop()
+    assert flood.told > 0, "the flood is told why"
+    daemon.process.send_signal(15)
+    code, errors = await daemon.end()
+    assert code == 0 and "Traceback" not in errors
+
+
+@with_folder
+async def test_a_known_client_comes_back_with_all_its_connections_while_the_flood_goes_on(stack, tmp):
+    daemon = await few_descriptors(stack, await given(stack, tmp, Host("handled"), more="bounds: {}\n" + HARBOUR))
+    flood = Flood(daemon.port)
+    await flood.beyond(800)
+    for _ in range(3):
+        clients = await asyncio.gather(*(known(stack, daemon.port) for _ in range(20)))
+        for number, client in [(client.send(f"deed {i}"), client) for i, client in enumerate(clients)]:
+            assert (await client.answer(number)).fate == "handled"
+        for client in clients:
+            client.end.abort()
+    flood.stop()
+
+
+@with_folder
+async def test_a_host_connection_is_had_when_descriptors_are_gone(stack, tmp):
+    late = Host("handled")
+    wide = HARBOUR.replace("{known", "{burst: 4000, pace: 4000, known")
+    daemon = await few_descriptors(stack, await given(stack, tmp, late, more="bounds: {idle: 200ms}\n" + wide), 60)
+    flood = Flood(daemon.port)
+    client = await known(stack, daemon.port)
+    await flood.beyond(400)
+    for i in range(5):
+        assert (await client.answer(client.send(f"deed {i}", lasts=4500.0))).fate == "handled"
+        await flood.beyond(100)
+    flood.stop()
+
+
+@story
+async def test_a_hello_a_byte_at_a_time_and_a_frame_that_never_ends(stack):
+    quick = "bounds: {}\nadmission: {hello: 300ms, unfinished: 300ms}"
+    client = await stack.start(Host("handled"), bounds=quick)
+    loop = asyncio.get_running_loop()
+    hello = codec.encode(m.Hello(m.VERSION, "client", "slow", now()))
+    for first, rest in ((b"", hello), (hello, codec.encode(m.Event(1, "draft", "f", 400.0, now(), body=b"b" * 99)))):
+        reader, writer = await asyncio.open_connection("127.0.0.1", stack.shell.port)
+        writer.write(first)
+
+        async def drip(writer=writer, rest=rest):
+            for i in range(len(rest) - 1):
+                writer.write(rest[i:i + 1])
+                await asyncio.sleep(0.05)
+        task = loop.create_task(drip())
+        told = await asyncio.wait_for(reader.read(), 20)
+        assert b"in time" in told
+        task.cancel()
+        writer.close()
+    assert (await client.answer(client.send())).fate == "handled"
+    assert not stack.shell.hall.guard.porch.unshown
+
+
+@story
+async def test_events_poured_on_one_connection_leave_the_others_their_target_time(stack):
+    from stack import Client
+    quiet = await stack.start(Host("handled"), Host("handled"))
+    pourer = await Client().connect(stack.shell.port)
+    stack.opened.append(pourer)
+    flow = stack.shell.hall.guard.flow
+    stack.shell.hall.uses.measure = lambda: d.Measured(0.0, 0.0, 1.0)      # the core is short
+    sent = []
+    while not stack.shell.hall.guard.counts.get("read less"):
+        sent += [pourer.send(f"deed {i % 7}", lasts=5000.0) for i in range(20)]
+        await asyncio.sleep(0.002)
+    assert flow.level is not None
+    sent += [pourer.send(f"deed {i % 7}", lasts=5000.0) for i in range(200)]
+    one = quiet.send("deed 1", lasts=5000.0)
+    assert (await quiet.answer(one)).fate == "handled"
+    assert len(pourer.all(m.Answer)) < len(sent), "the quiet one was answered while the other still waited to be read"
+    for number in sent:
+        await pourer.answer(number)
+    assert len(pourer.all(m.Answer)) == len(sent), "each is answered once, none is lost by the waiting"
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -62,6 +62,7 @@
 
 async def client_of(stack, port):
     from stack import Client
+    await stack.list.got(m.Heard)       # before it knows a host, it defers
     client = await Client().connect(port)
     stack.opened.append(client)
     return client
