Keys: TLS 1.3 at doors and to hosts, certificates, authorities, revocations and tokens that change in service

Need: known clients have to prove who they are before places can be kept for them, and offices cannot be cut off each time a certificate is renewed.

Change: cherrydoor/keys/decide.py judges each part as it is offered (pair, authorities, revocations, token keys) apart from the others; what is bad, ended, half-written, unsigned or older than what is in service is refused with the reason, and the old stays. Connections of old keys go on for a stated time and end spread out, when nothing is open on them; the revoked are put out at once. Files are looked at each second and on SIGHUP, read whole, and loaded from the very bytes that were checked.

--- a/cherrydoor/admission/listener.py
+++ b/cherrydoor/admission/listener.py
@@ -115,7 +115,7 @@
         listener = self.listener
         try:
             context = listener.context() if listener.context else None
-            _, self.end = await asyncio.get_running_loop().connect_accepted_socket(
+            await asyncio.get_running_loop().connect_accepted_socket(
                 lambda: listener.make(self), sock, ssl=context,
                 **({"ssl_handshake_timeout": 30.0, "ssl_shutdown_timeout": 1.0} if context else {}))
         except (OSError, ssl.SSLError, TimeoutError) as error:
--- a/cherrydoor/ends.py
+++ b/cherrydoor/ends.py
@@ -79,6 +79,9 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def eof_received(self):
+        return False        # the peer has closed, and so do we
+
     def connection_lost(self, error):
         self.timer.cancel()
         if error is not None:
--- a/cherrydoor/gateway/daemon.py
+++ b/cherrydoor/gateway/daemon.py
@@ -16,6 +16,7 @@
 from cherrydoor.admission.listener import Listener, Uses
 from cherrydoor.gateway.metrics import Asked
 from cherrydoor.gateway.shell import Shell, address
+from cherrydoor.keys.files import BadKeys
 from cherrydoor.lease.figures import lease_of
 from cherrydoor.lease.records import Problems
 
@@ -61,6 +62,9 @@
             self.shells.append(shell)
             try:
                 await shell.start()
+            except BadKeys as error:
+                log.error("the keys are not good", gateway=one.name, why=str(error))
+                return BAD_LEASE
             except OSError as error:
                 taken = error.errno == errno.EADDRINUSE
                 log.error("the door's port is taken" if taken else "the door cannot be opened", door=one.door,
@@ -113,7 +117,8 @@
         except Problems as error:
             return log.error("the new lease is wrong, the old one is kept", problems=str(error))
         for shell, new in zip(self.shells, read, strict=True):
-            if new.lease != shell.figures.lease or new.door != shell.figures.door:
+            shell.keeper.look(True)
+            if (new.lease, new.door, new.keys) != (shell.figures.lease, shell.figures.door, shell.figures.keys):
                 log.warning("the lease has changed where only a start takes it up", gateway=new.name)
             shell.bounds = shell.figures.bounds = new.bounds
             shell.desk.terms = shell.figures.terms = new.terms
--- a/cherrydoor/gateway/metrics.py
+++ b/cherrydoor/gateway/metrics.py
@@ -14,10 +14,9 @@
     def __init__(self, arrival, text):
         self.arrival, self.text, self.chunk = arrival, text, bytearray(LONGEST)
         self.http, self.transport, self.read = h11.Connection(h11.SERVER, LONGEST), None, 0
-        arrival.end = self
 
     def connection_made(self, transport):
-        self.transport = transport
+        self.transport, self.arrival.end = transport, self
 
     def data_received(self, data):
         self.read += len(data)
@@ -51,5 +50,8 @@
         """Refused: the field that says when to come back is whole seconds, upwards."""
         self.answer(503, word.encode() + b"\n", [("retry-after", str(int(-(-stay_away // 1000))))])
 
+    def eof_received(self):
+        return False
+
     def connection_lost(self, error):
         self.arrival.hall.post(d.Gone(self.arrival.caller))
--- a/cherrydoor/gateway/shell.py
+++ b/cherrydoor/gateway/shell.py
@@ -15,6 +15,8 @@
 from cherrydoor.frames import codec
 from cherrydoor.frames import messages as m
 from cherrydoor.gateway.desk import Client, Desk
+from cherrydoor.keys import decide as k
+from cherrydoor.keys.keeper import Keeper, NotProved, Where
 
 log = structlog.get_logger()
 
@@ -36,6 +38,7 @@
 
 
 HELLO = 8192        # bytes of the longest hello that is read
+EASE, LONGEST_EASE = 0.1, 30.0      # s between looks at whether a connection that is to end has anything open
 
 
 class ClientEnd(Read, End):
@@ -45,7 +48,11 @@
         super().__init__(shell.door, m.FROM_CLIENT, shell.hello, shell.bounds.client_bytes, HELLO)
         self.reader.halts, self.arrival, self.chunk = True, arrival, bytearray(CHUNK)
         self.client = Client(self)
-        arrival.caller.open, arrival.end = self.client.open, self
+        arrival.caller.open = self.client.open
+
+    def connection_made(self, transport):
+        self.arrival.end = self         # from now on it can be told why it is refused
+        super().connection_made(transport)
 
     def data_received(self, data):
         heard = self.take(data)
@@ -66,10 +73,17 @@
         shell = self.shell
         if hello.role != "client":
             return end.close(f"a client is expected here, not a {hello.role}")
-        shell.hall.post(d.Shown(end.arrival.caller, ""))
+        try:
+            office, proof = shell.keeper.identify(end.transport, hello.token)
+        except NotProved as error:
+            shell.hall.guard.count(f"not proved: {error}")
+            return end.close(str(error), 1000.0)
+        end.proof = proof
+        shell.hall.post(d.Shown(end.arrival.caller, office))
 
     def seated(self, end):
         self.ends.add(end)
+        self.shell.keeper.post(k.Joined(end, **end.proof))
         self.shell.post(self.shell.desk.came_in, end.client, end.reader.hello)
 
     def heard(self, end, message):
@@ -86,10 +100,23 @@
         else:
             shell.post(shell.desk.withdrawn, end.client, message.id)
 
+    def put_out(self, end, why, at_once, since=None):
+        """Ends a connection whose keys are out of service; unless at once, when nothing is open on it."""
+        loop = asyncio.get_running_loop()
+        since = loop.time() if since is None else since
+        if end not in self.ends:
+            return
+        if at_once or not end.client.open or loop.time() - since > LONGEST_EASE:
+            self.shell.desk.counts["connections put out"] += 1
+            end.close(why)
+        else:
+            loop.call_later(EASE, self.put_out, end, why, False, since)
+
     def lost(self, end):
         self.shell.hall.post(d.Gone(end.arrival.caller))
         if end in self.ends:
             self.ends.discard(end)
+            self.shell.keeper.post(k.Left(end))
             self.shell.post(self.shell.desk.went, end.client)
         if end.why and not end.why.startswith("[Errno"):
             log.info("a client's connection was closed", client=end.client.name, why=end.why)
@@ -127,7 +154,7 @@
                 while True:
                     try:
                         await asyncio.get_running_loop().create_connection(
-                            lambda: HostEnd(shell, link), *address(link.host.id))
+                            lambda: HostEnd(shell, link), *address(link.host.id), ssl=shell.keeper.client)
                         break
                     except OSError as error:
                         if error.errno not in NO_DESCRIPTORS:
@@ -269,6 +296,8 @@
         if places is not None:
             manners = replace(manners, places=min(places, manners.places))
         self.hall = Hall(manners, self.clock, self.uses)
+        said = {name: value for name, value in figures.keys.items() if name not in ("standing", "warn")}
+        self.keeper = Keeper(Where(**said, usage=figures.usage), self.door.put_out)
         self.done = self.loop.create_future()
         self.desk = self.new_desk()
 
@@ -281,11 +310,13 @@
                        self.figures.terms.most_open)
 
     async def start(self):
+        self.keeper.start()
         saved = self.roll.read_saved()
         if saved is not None:
             self.post(self.desk.listed, io.SAVED, saved)
         self.roll.start()
-        self.port = Listener(self.hall, address(self.figures.door), lambda arrival: ClientEnd(self, arrival)).port
+        self.port = Listener(self.hall, address(self.figures.door), lambda arrival: ClientEnd(self, arrival),
+                             (lambda: self.keeper.server) if self.keeper.sealed else None).port
         self.set_timer()
 
     # ---- the turn: all callbacks of one pass of the loop share it
@@ -348,6 +379,7 @@
 
     async def stop(self):
         self.hall.close()
+        self.keeper.close()
         self.roll.task.cancel()
         for end in list(self.door.ends):
             end.close()
--- a/cherrydoor/lease/figures.py
+++ b/cherrydoor/lease/figures.py
@@ -6,6 +6,7 @@
 
 from cherrydoor import interface as io
 from cherrydoor.admission.decide import Known, Manners
+from cherrydoor.keys.decide import Usage
 from cherrydoor.lease.records import Duration, Problem, Problems, Size, read
 
 
@@ -65,6 +66,7 @@
         self.saved = Path(said["saved"]) if said["saved"] else None
         self.metrics = said["metrics"]
         self.manners, self.memory = manners_of(said), said["admission"]["memory"]
+        self.keys, self.usage = said["keys"], Usage(said["keys"]["standing"], said["keys"]["warn"], said["seed"])
         self.bounds = Bounds(bounds)
         self.terms = Terms(bounds["spare"], bounds["open_events"], bounds["launches_on_a_link"],
                            bounds["links_to_a_host"], bounds["connect"], bounds["idle"], bounds["probe"],
@@ -101,6 +103,13 @@
         good = host and port.isdigit() and int(port) < 65536
         check(good or path == "metrics" and not said[path], path, "an address:port", repr(said[path]))
     check(said["number"] < said["gateways"], "number", f"a number below {said['gateways']} gateways", said["number"])
+    keys = said["keys"]
+    check(bool(keys["certificate"]) == bool(keys["key"]), "keys.key", "a certificate and its key, or neither",
+          repr(keys["key"]))
+    check(keys["authorities"] or not keys["revoked"], "keys.revoked", "authorities beside revocations", "none")
+    check(keys["authorities"] or not keys["hosts"], "keys.hosts", "authorities by which hosts are believed", "none")
+    check(keys["authorities"] or keys["clients"] != "need", "keys.clients", "authorities by which clients are believed",
+          "none")
     for i, known in enumerate(said["admission"]["known"]):
         for net in known["addresses"]:
             try:
--- a/tests/gateway/stack.py
+++ b/tests/gateway/stack.py
@@ -94,12 +94,13 @@
 
     def __init__(self, answers=None, since=0.0):
         super().__init__()
-        self.answers, self.since, self.server, self.largest = answers, since, None, m.LARGEST
+        self.answers, self.since, self.server, self.largest, self.tls = answers, since, None, m.LARGEST, None
 
     async def start(self, port=0):
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(lambda: End(self, m.TO_HOST, lambda: m.Hello(
-            m.VERSION, "host", self.id, now(), self.since, self.largest)), "127.0.0.1", port, reuse_address=True)
+            m.VERSION, "host", self.id, now(), self.since, self.largest)), "127.0.0.1", port, reuse_address=True,
+            ssl=self.tls)
         self.id = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
         return self
 
@@ -183,8 +184,9 @@
     def __init__(self):
         self.opened, self.shell = [], None
 
-    async def start(self, *hosts, saved=None, **parts):
-        """A gateway that knows these hosts, with one client on it. `parts` replace parts of the lease."""
+    async def start(self, *hosts, saved=None, plain=True, **parts):
+        """A gateway that knows these hosts, with one client on it unless it is not plain TCP that is spoken there.
+        `parts` replace parts of the lease."""
         self.list = await Listing().start()
         self.opened.append(self.list)
         for host in hosts:
@@ -196,7 +198,7 @@
         self.shell = Shell(Figures(read(text, "f", schema("lease.schema"), "#Lease")), Gateway)
         await self.shell.start()
         await self.list.got(m.Heard)
-        return await self.client()
+        return await self.client() if plain else None
 
     async def client(self):
         client = await Client().connect(self.shell.port)
