--- a/cherrydoor/cli/commands.py
+++ b/cherrydoor/cli/commands.py
@@ -246,7 +246,7 @@
 
 
 @main.command("stand-in", hidden=True)
-@click.argument("kind", type=click.Choice(["hosts", "store", "roll", "clients"]))
+@click.argument("kind", type=click.Choice(["hosts", "store", "roll", "crowd", "clients"]))
 def stand_in(kind):
     """One part of a rehearsal; its figures come as the first line of standard input."""
     said = json.loads(sys.stdin.readline())
@@ -269,9 +269,10 @@
 @click.option("--seed", type=int, help="In place of the day's own.")
 @click.option("--decides", type=click.Choice(["module", "random", "least-out"]),
               help="What chooses hosts; the latter two are baselines.")
+@click.option("--without", multiple=True, help="A kind of trouble that is left out; its time is still marked.")
 @click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
 @click.option("--quiet", is_flag=True, help="No progress.")
-def rehearse(day, bench_day, size, speed, out, seed, decides, as_json, quiet):
+def rehearse(day, bench_day, size, speed, out, seed, decides, without, as_json, quiet):
     """Play DAY, the name of a shipped one or a file, on loopback sockets, then judge it from its traffic.
 
     Exits with 0 where every rule was kept, 1 where one was broken, 2 where the run could not be made.
@@ -291,6 +292,7 @@
                 print("left out: " + ", ".join(left), file=sys.stderr)
         else:
             said = read_day(day, seed=seed)
+        said["without"] = list(without)
         if decides:
             said["gateways"]["decides"] = decides
     except Problems as error:
--- a/cherrydoor/rehearsal/audit.py
+++ b/cherrydoor/rehearsal/audit.py
@@ -322,6 +322,52 @@
                         | {"count": h.get_total_count()} for name, h in histograms.items()}
         return served, seconds
 
+    def doors(self):
+        """How known clients came in, and what the flood got; {} on days without either.
+
+        A connect to a gateway that was down, stopped, or about to be, is nobody's refusal."""
+        seen, found = self.seen, {}
+        for name, good, bad in (("connects", seen.of("client", "connected"), seen.of("client", "connect failed")),
+                                ("came back", seen.of("crowd", "came back"), [])):
+            rows = [(r, True) for r in good if r["fate"] != "refused"]
+            rows += [(r, False) for r in [*bad, *good] if r["what"] == "connect failed" or r["fate"] == "refused"]
+            rows = [(r, ok) for r, ok in rows if ok or not self.away(r)]
+            if rows:
+                took = [r["a"] for r, ok in rows if ok] or [0.0]
+                found[name] = {"tried": len(rows), "let in": sum(ok for _, ok in rows),
+                               "p50": float(np.percentile(took, 50)), "p99": float(np.percentile(took, 99)),
+                               "why not": dict(Counter(r["text"] for r, ok in rows if not ok).most_common(5))}
+        if floods := seen.of("crowd", "flood"):
+            found["flood"] = {"opened": sum(r["number"] for r in floods), "told": int(sum(r["a"] for r in floods)),
+                              "open at most": int(max(r["b"] for r in floods))}
+        return found
+
+    def away(self, row):
+        """Whether its gateway was down or stopped at any time while it tried."""
+        closing = [r["t"] for r in self.seen.of("conductor", "closing")]
+        return bool(closing) and row["t"] >= closing[0] or any(
+            begin - 100 <= row["t"] and row["t"] - row["a"] <= end + 300
+            for spans in (self.down, self.stopped) for begin, end in spans.get(row["peer"], ()))
+
+    def during(self, kind):
+        """(share within target, p99 in ms, events) of what was due while that trouble lasted; None without it."""
+        times = [r["t"] for r in self.seen.of("conductor", "trouble") if r["text"] == kind]
+        spans = list(zip(times[::2], times[1::2], strict=False))
+        if not spans:
+            return None
+        took, good = [], 0
+        for row in self.seen.of("client", "sent"):
+            if row["number"] or row["text"] == "extra" or not any(a <= row["a"] <= b for a, b in spans):
+                continue
+            # first tries: a repeat's answer would belong to another launch
+            handled = [r["t"] - row["a"] for r in self.ends.get(row["event"], ())
+                       if r["what"] == "answer" and r["fate"] == "handled"]
+            took.append(handled[0] if handled else float("inf"))
+            good += bool(handled) and handled[0] <= self.terms["events"][row["clause"]]["target"]
+        found = sorted(x for x in took if x < float("inf"))
+        return {"events": len(took), "share": good / max(1, len(took)),
+                "p99": found[int(len(found) * 0.99)] if found else 0.0}
+
     def report(self):
         for rule in (self.rule_1, self.rule_2, self.rule_3, self.rule_4, self.rule_5):
             rule()
@@ -356,6 +402,8 @@
             "launches": sum(launches.values()), "effects": len(seen.of("host", "effect")), "outcomes": dict(hosts),
             "fell": len(seen.of("host", "fell")),
             "lag_ms": {f"p{p:g}": float(np.percentile(lag, p)) for p in (50, 99, 99.9, 100)} if len(lag) else {},
+            "doors": self.doors(), "during": {kind: one for kind in sorted({t["what"] for t in troubles})
+                                             if (one := self.during(kind))},
             "line": line, "troubles": troubles, "warm": self.warm}
 
 
--- a/cherrydoor/rehearsal/clients.py
+++ b/cherrydoor/rehearsal/clients.py
@@ -13,6 +13,7 @@
 from cherrydoor.frames import messages as m
 from cherrydoor.rehearsal.traffic import draw, function_name
 from cherrydoor.standin.command import commands, say
+from cherrydoor.standin.crowd import context_of
 from cherrydoor.standin.record import Record, now
 
 
@@ -29,27 +30,36 @@
 class Connection:
     """To one gateway; tried again and again while it is down."""
 
-    def __init__(self, clients, number, address):
-        self.clients, self.number, self.end, self.open = clients, number, None, {}
+    def __init__(self, clients, number, address, office, comes):
+        """comes: the address that it comes from ("" for any), and the keys of its TLS ({} for none)."""
+        self.clients, self.number, self.end, self.open, self.office = clients, number, None, {}, office
         self.host, _, port = address.rpartition(":")
         self.port, self.leaving = int(port), False
+        self.more = {"ssl": context_of(comes["keys"])}
+        if comes["address"]:
+            self.more["local_addr"] = (comes["address"], 0)
 
     async def keep(self):
         while True:
             try:
-                self.gone = asyncio.get_running_loop().create_future()
+                self.gone, self.begun = asyncio.get_running_loop().create_future(), now()
                 await asyncio.get_running_loop().create_connection(
-                    lambda: End(self, m.TO_CLIENT, self.hello), self.host, self.port)
+                    lambda: End(self, m.TO_CLIENT, self.hello), self.host, self.port, **self.more)
                 await self.gone
-            except OSError:
+            except OSError as error:
+                self.failed(str(error))
                 await asyncio.sleep(0.1)
 
+    def failed(self, why):
+        self.clients.record.add("connect failed", peer=f"g{self.number}", party=self.office, a=now() - self.begun,
+                                text=why)
+
     def hello(self):
         return m.Hello(m.VERSION, "client", f"c{self.number}", now())
 
     def greeted(self, end, hello):
         self.end, self.leaving = end, False
-        self.clients.record.add("connected", peer=hello.name)
+        self.clients.record.add("connected", peer=hello.name, party=self.office, a=now() - self.begun)
 
     def heard(self, end, message):
         kind = type(message)
@@ -63,6 +73,8 @@
     def lost(self, end):
         if self.end is end:
             self.end = None
+        if end.reader.fault is None and end.why.startswith("peer: ") and now() - self.begun < 1000:
+            self.failed(end.why)
         for one in list(self.open.values()):
             self.clients.cut(self, one)
         if not self.gone.done():
@@ -70,11 +82,13 @@
 
 
 class Clients:
-    def __init__(self, day, doors, record):
+    def __init__(self, day, doors, record, comes=None):
         self.day, self.record, self.loop = day, record, asyncio.get_running_loop()
         self.arrivals, self.events = draw(day), day["events"]
         self.offices = [o["name"] for o in day["offices"]] or [""]
-        self.doors = [Connection(self, i, address) for i, address in enumerate(doors)]
+        comes = comes or {}
+        self.doors = [[Connection(self, i, address, office, comes.get(office, {"address": "", "keys": {}}))
+                       for office in (self.offices if comes else [""])] for i, address in enumerate(doors)]
         self.bodies = [b"b" * e["body"] for e in self.events]
         self.heap, self.serial, self.next, self.ids, self.ends = [], 0, 0, 0, self.loop.create_future()
         self.names = [f"g{i}" for i in range(len(doors))]
@@ -125,7 +139,8 @@
     def send(self, one):
         i, a = one.first, self.arrivals
         event, t = self.events[a.clause[i]], now()
-        conn = self.doors[int(one.turn) % len(self.doors)]
+        there = self.doors[int(one.turn) % len(self.doors)]
+        conn = there[a.party[i]] if len(there) > 1 else there[0]
         lasts = min(event["max_age"] * a.patience[i], one.deadline - t)
         if lasts <= 1:
             return
@@ -211,9 +226,9 @@
 
 async def play(said):
     record = Record(said["record"], "client", "clients")
-    clients = Clients(said["day"], said["doors"], record)
-    tasks = [asyncio.get_running_loop().create_task(door.keep()) for door in clients.doors]
-    while any(door.end is None for door in clients.doors):
+    clients = Clients(said["day"], said["doors"], record, said.get("comes"))
+    tasks = [asyncio.get_running_loop().create_task(one.keep()) for door in clients.doors for one in door]
+    while any(one.end is None for door in clients.doors for one in door):
         await asyncio.sleep(0.02)
     gc.collect()
     gc.freeze()
--- a/cherrydoor/rehearsal/conduct.py
+++ b/cherrydoor/rehearsal/conduct.py
@@ -4,14 +4,17 @@
 import contextlib
 import json
 import os
+import resource
 import signal
 import socket
 import sys
 import time
+from functools import partial
 from pathlib import Path
 
+from cherrydoor.keys.make import Folder
 from cherrydoor.lease import show
-from cherrydoor.rehearsal.day import builds, lease_values, terms
+from cherrydoor.rehearsal.day import address_of, builds, client_keys, lease_values, terms
 from cherrydoor.rehearsal.troubles import Steps
 from cherrydoor.standin.record import Record, now
 
@@ -27,10 +30,11 @@
         self.name, self.log_file, self.process, self.waiting, self.tags = name, log_file, None, {}, 0
         self.said = asyncio.Queue()
 
-    async def start(self, *words, given=None):
+    async def start(self, *words, given=None, descriptors=0):
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "cherrydoor", *words, stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
             stderr=self.log_file, start_new_session=True, limit=2**24,
+            preexec_fn=partial(resource.setrlimit, resource.RLIMIT_NOFILE, (descriptors,) * 2) if descriptors else None,
             env=os.environ | {"PYTHONPATH": os.pathsep.join(p for p in sys.path if p)})
         if given is not None:
             self.process.stdin.write(json.dumps(given).encode() + b"\n")
@@ -173,17 +177,39 @@
         for number, host in self.ids.items():
             build = self.builds[number]
             await self.row(number, host, "ready", 0.0, build)
+        self.make_keys()
         count, together = day["gateways"]["count"], day["gateways"]["in_a_process"]
         groups = in_processes(count, together, len(day["fleet"]["floors"]))
         for i in range(0, len(groups), 8):
             await asyncio.gather(*(self.start_gateways(group) for group in groups[i:i + 8]))
         self.clients = await self.part("clients").start("stand-in", "clients", given={
-            "record": traffic, "day": day, "doors": [self.doors[g] for g in range(count)]})
+            "record": traffic, "day": day, "doors": [self.doors[g] for g in range(count)], "comes": self.comes()})
+        if any(t["what"] in ("flood", "reconnect") for t in day["troubles"]):
+            self.crowd = await self.part("crowd").start("stand-in", "crowd", given={"record": traffic})
+            await self.crowd.until("ready")
         self.count = (await self.clients.until("ready", 120.0))["events"]
         self.begun = now() + 500
         self.clients.tell("go", at=self.begun)
         self.record.add("begun", t=self.begun, a=day["warm"], b=day["length"])
 
+    def make_keys(self):
+        """On days with TLS: an authority, and certificates of all gateways and offices."""
+        if not self.day["doors"]["tls"]:
+            return
+        self.keys = Folder(self.folder / "keys")
+        self.keys.authority()
+        for number in range(self.day["gateways"]["count"]):
+            self.keys.issue("gateway", f"g{number}", addresses=["127.0.0.1"])
+        for office in self.day["offices"]:
+            self.keys.issue("client", office["name"])
+
+    def comes(self):
+        """Office -> where it comes from and the keys it has; {} where nobody is known."""
+        if not self.day["doors"]["known"]:
+            return {}
+        return {o["name"]: {"address": address_of(self.day, o["name"]),
+                            "keys": client_keys(self.day, o["name"], self.folder)} for o in self.day["offices"]}
+
     async def start_gateways(self, group):
         """One process for a group of gateways; after a crash on the same ports."""
         part, words = self.part("gateways " + " ".join(map(str, group))), []
@@ -194,7 +220,8 @@
             words += ["--lease", str(path)]
         decides = self.day["gateways"]["decides"]
         await part.start("gateway", *words, "--tied", "--announce",
-                         *(["--baseline", decides] if decides != "module" else []))
+                         *(["--baseline", decides] if decides != "module" else []),
+                         descriptors=self.day["doors"]["descriptors"])
         for _ in group:
             said = await part.until("door")
             number = int(said["gateway"][1:])
@@ -280,6 +307,33 @@
         await self.store.tell("release", functions=functions, release=release)
         await self.farm.tell("flush", functions=functions, release=release)
 
+    async def do_flood(self, per_second):
+        if "flood" not in self.day.get("without", ()):
+            await self.crowd.tell("flood", doors=list(self.doors.values()), per_second=per_second,
+                                  tls=self.day["doors"]["tls"])
+
+    async def do_reconnect(self, count):
+        """At the gateways that run, an office's connections beside those that it has."""
+        if "reconnect" in self.day.get("without", ()):
+            return
+        up = [g for g, (part, _) in self.gateways.items() if part.process.returncode is None]
+        await self.crowd.tell("come back", doors={f"g{g}": self.doors[g] for g in sorted(up)},
+                              offices=self.comes(), count=count)
+
+    async def do_key_change(self, gateways, times):
+        """New certificates one after the other, with a half-written key between two."""
+        if "key-change" in self.day.get("without", ()):
+            return
+        for turn in range(times):
+            for number in gateways:
+                if turn:
+                    path = self.folder / "keys" / f"g{number}.key"
+                    path.write_bytes(path.read_bytes()[:80])
+            await asyncio.sleep(0.4 if turn else 0)
+            for number in gateways:
+                self.keys.issue("gateway", f"g{number}", addresses=["127.0.0.1"])
+            await asyncio.sleep(0.4)
+
     def mates(self, gateway):
         part, group = self.gateways[gateway]
         return part, group
@@ -314,6 +368,7 @@
         """Waits for the last answers, then has every gateway drain and notes how each ended."""
         await self.clients.until("over", 120.0)
         await asyncio.sleep(0.3)
+        self.record.add("closing")
         parts = {id(part): part for part, _ in self.gateways.values()}.values()
         for part in parts:
             part.signal(signal.SIGTERM)
--- a/cherrydoor/rehearsal/day.py
+++ b/cherrydoor/rehearsal/day.py
@@ -67,7 +67,42 @@
         "ration": {"free": day["ration"]["free"], "share": day["ration"]["share"],
                    "within": ms(day["ration"]["within"])},
         "may": {k: may[k] for k in ("launches", "twice", "recall", "probe", "order")} | {"advice": ms(may["advice"])},
-        "bounds": {"spare": ms(day["spare"])}, "linger": ms(day["linger"]), "misses": day["fleet"]["misses"]}
+        "bounds": {"spare": ms(day["spare"])} | doors(day)[0], **doors(day)[1], **keys_of(day, number, folder),
+        "linger": ms(day["linger"]), "misses": day["fleet"]["misses"]}
+
+
+def address_of(day, office):
+    """Where an office's connections come from, on days on which offices are known."""
+    return f"127.200.{1 + [o['name'] for o in day['offices']].index(office)}.1"
+
+
+def doors(day):
+    """What the lease says of connections and of known clients."""
+    said = day.get("doors") or {}
+    if not said.get("known"):
+        return {}, {}
+    return {"connections": said["places"]}, {"admission": {"known": [
+        {"name": o["name"], "places": said["known"], "most": 2 * said["known"],
+         "addresses": [address_of(day, o["name"]) + "/32"]} for o in day["offices"]]}}
+
+
+def keys_of(day, number, folder):
+    said = day.get("doors") or {}
+    if not said.get("tls"):
+        return {}
+    keys = folder / "keys"
+    return {"keys": {"certificate": str(keys / f"g{number}.pem"), "key": str(keys / f"g{number}.key"),
+                     "authorities": str(keys / "authorities.pem"), "revoked": str(keys / "revoked.pem"),
+                     "look": ms(200.0), "standing": ms(said["standing"])}}
+
+
+def client_keys(day, office, folder):
+    """The files by which an office's connections are sealed; {} where they are not."""
+    if not (day.get("doors") or {}).get("tls"):
+        return {}
+    keys = folder / "keys"
+    return {"authorities": str(keys / "authorities.pem"), "certificate": str(keys / f"{office}.pem"),
+            "key": str(keys / f"{office}.key")}
 
 
 def ms(value):
--- a/cherrydoor/rehearsal/report.py
+++ b/cherrydoor/rehearsal/report.py
@@ -38,6 +38,15 @@
     for what, count in (found["answers"] | found["not_handled"]).items():
         counts.add_row(what, str(count))
     console.print(counts)
+    if found["doors"]:
+        came = Table("known clients", "tried", "let in", "p50 ms", "p99", "why not")
+        for name in ("connects", "came back"):
+            if one := found["doors"].get(name):
+                came.add_row(name, str(one["tried"]), str(one["let in"]), f"{one['p50']:.1f}", f"{one['p99']:.1f}",
+                             "; ".join(f"{v} {k}" for k, v in one["why not"].items()))
+        console.print(came)
+        if one := found["doors"].get("flood"):
+            console.print("flood: " + ", ".join(f"{v} {k}" for k, v in one.items()))
     if found["lag_ms"]:
         console.print("the generator sent late by ms: " + ", ".join(
             f"{name} {value:.1f}" for name, value in found["lag_ms"].items()))
--- a/cherrydoor/rehearsal/troubles.py
+++ b/cherrydoor/rehearsal/troubles.py
@@ -157,6 +157,17 @@
         self.add(at, "list", on=True)
         self.add(end, "list", on=False)
 
+    def flood(self, trouble, at, end):
+        self.add(at, "flood", per_second=100.0 * trouble["size"])
+        self.add(end, "flood", per_second=0.0)
+
+    def reconnect(self, trouble, at, end):
+        self.add(at, "reconnect", count=max(1, int(trouble["size"])))
+
+    def key_change(self, trouble, at, end):
+        self.add(at, "key change", times=max(1, int(trouble["size"])), gateways=self.some(
+            trouble["part"], range(self.day["gateways"]["count"])))
+
     def flush(self, trouble, at, end):
         count = self.day["functions"]["count"]
         functions = [function_name(f) for f in self.some(trouble["part"], range(count))]
--- a/cherrydoor/standin/command.py
+++ b/cherrydoor/standin/command.py
@@ -172,9 +172,14 @@
     record.close()
 
 
-KINDS = {"hosts": hosts, "store": store, "roll": roll}
+async def crowd(said):
+    from cherrydoor.standin.crowd import crowd as play
+    await play(said, say, commands)
+
+
+KINDS = {"hosts": hosts, "store": store, "roll": roll, "crowd": crowd}
 
 
 def main(kind, said):
-    """Runs one stand-in, kind 'hosts', 'store' or 'roll', until its standard input ends."""
+    """Runs one stand-in, kind 'hosts', 'store', 'roll' or 'crowd', until its standard input ends."""
     uvloop.run(KINDS[kind](said))
--- a/tests/rehearsal/test_days.py
+++ b/tests/rehearsal/test_days.py
@@ -57,6 +57,28 @@
     assert again.returncode == 0 and json.loads(again.stdout) == found
 
 
+def test_a_little_crash_at_the_gate_keeps_every_rule_and_every_known_client(tmp_path):
+    day = tmp_path / "gate.day"
+    first = LITTLE.index("troubles:")
+    day.write_text(LITTLE[:first] + """
+offices: [{name: "harbour", share: 2}, {name: "meadow", share: 1}]
+doors: {tls: true, known: 10, places: 40, descriptors: 160}
+troubles: [
+  {at: 200ms, what: "flood", lasts: 3.5s, size: 4}
+  {at: 800ms, what: "key-change", lasts: 1s, part: 60%, size: 2}
+  {at: 1s, what: "gateway-crash", lasts: 500ms, part: 20%}
+  {at: 2.5s, what: "reconnect", lasts: 500ms, size: 6}
+]
+""")
+    done = cherrydoor("rehearse", str(day), "--out", str(tmp_path / "out"), "--json", "--quiet")
+    assert done.returncode == 0, done.stderr + done.stdout[-2000:]
+    found = json.loads(done.stdout)
+    assert found["broken"] == [] and found["answers"]["handled"] > 50
+    for one in (found["doors"]["connects"], found["doors"]["came back"]):
+        assert one["let in"] == one["tried"] > 5, one
+    assert found["doors"]["flood"]["opened"] > 300
+
+
 def test_a_day_that_cannot_be_read_or_run_exits_with_2(tmp_path):
     assert cherrydoor("rehearse", "no-such-day").returncode == 2
     day = tmp_path / "bad.day"
@@ -122,7 +144,7 @@
     steps = Steps(said)
     does = {what for _, what, _ in steps.found}
     handled = {name[3:].replace("_", " ") for name in dir(Conductor) if name.startswith("do_")}
-    assert does <= handled and len(names) == 23
+    assert does <= handled and len(names) == 26
     assert {t["what"] for t in said["troubles"]} - {n.replace("_", "-") for n in dir(Steps)} == {
         "burst", "hot", "scan", "repeats"}, "these four are in the traffic itself"
 
