--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 READY := .venv/ready
 
-.PHONY: rehearse test lint ci bench clean
+.PHONY: rehearse test lint ci bench bench-doors clean
 rehearse: $(READY)
 	$(PY) -m cherrydoor rehearse quick
 
@@ -27,3 +27,6 @@
 
 bench: $(READY)
 	$(PY) -m bench.gateway --memory
+
+bench-doors: $(READY)
+	$(PY) -m bench.admission
--- a/cherrydoor/admission/decide.py
+++ b/cherrydoor/admission/decide.py
@@ -14,7 +14,7 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 from heapq import heapify, heappop, heappush
-from ipaddress import ip_address, ip_network
+from ipaddress import IPv6Address, ip_network
 from zlib import crc32
 
 WIDTHS = {4: (32, 24, 16), 6: (64, 48, 32)}     # an owner has a /64 at the least in IPv6
@@ -119,6 +119,20 @@
     span: float
 
 
+def number_of(address):
+    """(version, number) of an address; one of IPv4 in IPv6 clothing is one of IPv4.
+
+    >>> number_of("10.0.0.1"), number_of("::ffff:10.0.0.1"), number_of("::1")
+    ((4, 167772161), (4, 167772161), (6, 1))
+    """
+    parts = address.split(".")
+    if len(parts) == 4 and ":" not in address:
+        a, b, c, d = parts
+        return 4, int(a) << 24 | int(b) << 16 | int(c) << 8 | int(d)
+    ip = IPv6Address(address)
+    return (4, int(ip.ipv4_mapped)) if ip.ipv4_mapped else (6, int(ip))
+
+
 class Bucket:
     """Leaks `pace` a second and holds `depth`; a drop goes in where there is room."""
     __slots__ = ("level", "at")
@@ -160,7 +174,7 @@
 
     def __init__(self, name, own, most, nets, most_held, now):
         self.name, self.own, self.most = name, own, max(own, most)
-        self.nets = [ip_network(net, strict=False) for net in nets]
+        self.nets = [(one.version, int(one[0]), int(one[-1])) for one in (ip_network(n, strict=False) for n in nets)]
         self.bucket, self.group, self.seated, self.learned = Bucket(now), Group(most_held), {}, OrderedDict()
         self.line = deque()     # those that wait for a place: no more than `most`, none longer than a porch's time
 
@@ -259,17 +273,14 @@
         self.manners, self.tables = manners, (OrderedDict(), OrderedDict(), OrderedDict())
         self.whole = Group(manners.strangers_bytes)
 
-    def of(self, address, now):
+    def of(self, number, now):
         """The streets of an address, narrowest first."""
-        ip = ip_address(address)
-        if ip.version == 6 and ip.ipv4_mapped:
-            ip = ip.ipv4_mapped
-        bits = int(ip)
+        version, bits = number
         found = []
-        for width, size in enumerate(WIDTHS[ip.version]):
+        for width, size in enumerate(WIDTHS[version]):
             # loopback is one machine: all of 127.0.0.0/8 is one address there
-            key = (4, 127) if ip.version == 4 and bits >> 24 == 127 else (
-                ip.version, bits >> ((32 if ip.version == 4 else 128) - size))
+            key = (4, 127) if version == 4 and bits >> 24 == 127 else (
+                version, bits >> ((32 if version == 4 else 128) - size))
             table = self.tables[width]
             street = table.get(key)
             if street is None:
@@ -578,8 +589,9 @@
     def knock(self, note):
         caller, now = note.caller, self.now
         caller.sealed = note.sealed
-        caller.streets = self.streets.of(caller.address, now)
-        office = caller.office = self.listed(caller.address)
+        number = number_of(caller.address)
+        caller.streets = self.streets.of(number, now)
+        office = caller.office = self.listed(number)
         caller.hinted = office or self.remembered(caller.address)
         if caller.hinted is not None:
             wait = caller.hinted.bucket.wait(now, self.manners.office_pace, self.burst_of(caller.hinted))
@@ -645,12 +657,12 @@
         """All of an office's connections may come back at once, twice over."""
         return max(2.0 * office.most, self.manners.burst)
 
-    def listed(self, address):
-        ip = ip_address(address)
-        ip = getattr(ip, "ipv4_mapped", None) or ip
+    def listed(self, number):
+        version, bits = number
         for office in self.places.offices.values():
-            if any(ip in net for net in office.nets):
-                return office
+            for net, first, last in office.nets:
+                if net == version and first <= bits <= last:
+                    return office
         return None
 
     def remembered(self, address):
--- a/cherrydoor/admission/listener.py
+++ b/cherrydoor/admission/listener.py
@@ -8,6 +8,7 @@
 import socket
 import ssl
 import time
+from functools import lru_cache
 from typing import Any
 
 import structlog
@@ -24,8 +25,9 @@
 CHUNK = 16 * 1024           # bytes read from one client in one pass, so that all have their turn
 
 
+@lru_cache(maxsize=256)
 def word_of(reason, stay_away):
-    """The bytes of a refusal."""
+    """The bytes of a refusal; the wait in whole 10 ms, upwards, so that few are made."""
     return codec.encode(m.Fault(reason, stay_away))
 
 
@@ -114,6 +116,7 @@
         sock, self.sock = self.sock, None
         listener = self.listener
         try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             context = listener.context() if listener.context else None
             await asyncio.get_running_loop().connect_accepted_socket(
                 lambda: listener.make(self), sock, ssl=context,
@@ -138,7 +141,7 @@
         sock, self.sock = self.sock, None
         if sock is not None:
             try:
-                sock.send(word_of(word, stay_away))
+                sock.send(word_of(word, -(-stay_away // 10) * 10.0))
                 sock.shutdown(socket.SHUT_WR)
                 sock.recv(4096)
             except OSError:
@@ -188,11 +191,6 @@
                     return
                 continue        # it was gone before it was accepted
             sock.setblocking(False)
-            try:
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            except OSError:
-                sock.close()
-                continue
             arrival = Arrival(hall, self, sock, peer[0].partition("%")[0], hall.clock.now())
             hall.post(d.Knock(arrival.caller, self.context is not None))
 
