--- a/tests/admission/test_flood.py
+++ b/tests/admission/test_flood.py
@@ -188,3 +188,39 @@
     for number in sent:
         await pourer.answer(number)
     assert len(pourer.all(m.Answer)) == len(sent), "each is answered once, none is lost by the waiting"
+
+
+@story
+async def test_five_hundred_connections_of_a_known_client_come_back_at_once(stack):
+    known_part = ('bounds: {connections: 700}\n'
+                  'admission: {known: [{name: "harbour", places: 500, addresses: ["127.200.0.0/16"]}]}')
+    await stack.start(Host("handled"), bounds=known_part, plain=False)
+    flood = Flood(stack.shell.port)
+    await flood.beyond(200)
+    for _ in range(2):
+        clients = await asyncio.gather(*(known(stack, stack.shell.port) for _ in range(500)))
+        sent = [(client, client.send(f"deed {i % 20}", lasts=4900.0)) for i, client in enumerate(clients[:50])]
+        for client, number in sent:
+            assert (await client.answer(number)).fate in ("handled", "deferred")
+        assert not any(client.lost_ends for client in clients)
+        for client in clients:
+            client.end.abort()
+    flood.stop()
+
+
+@story
+async def test_a_known_client_that_misbehaves_harms_no_other(stack):
+    two = ('bounds: {connections: 60}\nadmission: {known: [{name: "harbour", places: 20, addresses: ["127.200.0.0/16"]}'
+           ', {name: "meadow", places: 20, addresses: ["127.201.0.0/16"]}]}')
+    await stack.start(Host("handled"), bounds=two, plain=False)
+    greedy = [client for client in await asyncio.gather(*(known(stack, stack.shell.port) for _ in range(200)))
+              if client is not None]
+    seats = stack.shell.hall.guard.places.offices
+    assert len(seats["harbour"].seated) == 40, "its own places and the common ones"
+    meadow = await asyncio.gather(*(known(stack, stack.shell.port, "127.201.0.1") for _ in range(20)))
+    for client in greedy[:3]:
+        for i in range(100):
+            client.send(f"deed {i}", lasts=4900.0)
+    for client in meadow:
+        assert (await client.answer(client.send("deed 1", lasts=4900.0))).fate in ("handled", "deferred")
+    assert len(seats["meadow"].seated) == 20 and not any(client.lost_ends for client in meadow)
--- a/tests/keys/test_in_service.py
+++ b/tests/keys/test_in_service.py
@@ -12,6 +12,7 @@
 from cherrydoor.frames import messages as m
 from cherrydoor.keys import files
 from cherrydoor.keys.keeper import Keeper, Where
+from cherrydoor.standin.crowd import greeting
 
 KNOWN = 'admission: {known: [{name: "harbour", places: 8}, {name: "meadow", places: 8}]}\n'
 
@@ -180,3 +181,25 @@
         files.tokens(tmp_path / "tokens.jwks")
     assert "c2VjcmV0" not in str(told.value)
     assert client_context(tmp_path, "harbour") and now()
+
+
+@with_folder
+async def test_handshakes_that_never_end_keep_nobody_out(stack, tmp):
+    made(tmp)
+    await stack.start(Host("handled"), bounds=lease_part(tmp), plain=False, known=KNOWN.replace(
+        "{known", "{hello: 500ms, known").replace("places: 8}]", 'places: 8, addresses: ["127.0.0.1/32"]}]'))
+    first, idle = greeting(True), []
+    for i in range(300):
+        reader, writer = await asyncio.open_connection("127.0.0.1", stack.shell.port,
+                                                       local_addr=(f"127.3.{i % 200}.1", 0))
+        writer.write(first[:(0, 40, len(first))[i % 3]])
+        idle.append((reader, writer))
+        if i % 30 == 29:
+            client = await sealed(stack, tmp, "meadow")
+            assert (await client.answer(client.send(lasts=4900.0))).fate == "handled"
+            client.end.close()
+    guard = stack.shell.hall.guard
+    assert len(guard.porch.slots) <= guard.porch.most
+    await stack.settled(lambda: not guard.porch.unshown)
+    for _, writer in idle:
+        writer.close()
