--- a/tests/admission/test_decide.py
+++ b/tests/admission/test_decide.py
@@ -25,6 +25,14 @@
     assert len(doors.seated([doors.come("10.2.0.9") for _ in range(5)])) == 5
 
 
+def test_an_office_beyond_its_own_takes_no_more_than_what_is_common():
+    doors = Doors(40, [HARBOUR, MEADOW])
+    for i in range(25):
+        doors.come(stranger(i)).open = 1        # busy: none of them makes room
+    assert len(doors.seated([doors.come("10.1.0.9") for _ in range(12)])) == 10
+    assert doors.guard.places.used() == 25
+
+
 def test_an_idle_stranger_makes_room_the_longest_idle_first():
     doors = Doors(20, [HARBOUR])
     strangers = []
@@ -218,14 +226,14 @@
 
 
 def test_a_million_addresses_leave_tables_of_one_size():
-    doors = Doors(400)
+    doors = Doors(400, pace=0.2)       # so slow that no bucket runs dry meanwhile
     for i in range(60000):
         caller = doors.knock(f"{20 + i % 200}.{i // 200 % 256}.{i * 13 % 256}.{i * 31 % 256}")
         doors.go(caller)
         if i % 100 == 0:
             doors.wait(100, steps=1)
     assert max(map(len, doors.guard.streets.tables)) <= d.MOST_STREETS + 2
-    doors.wait(200000)
+    doors.wait(400000)
     assert max(map(len, doors.guard.streets.tables)) < 400, "and they shrink once it is over"
 
 
