The module foresees a function: a copy is ordered at its home before the first event

Need: a release that is loaded ahead has to be loaded where its events will go, and by the gate that rations orders and keeps drains; nothing but the module knows that place.

--- a/cherrydoor/interface.py
+++ b/cherrydoor/interface.py
@@ -83,6 +83,11 @@
     load: float                 # usual time of a load, 0 where not told
 
 
+class Foreseen(NamedTuple):
+    """A function that will soon be called: a copy at its home is worth an order."""
+    function: str
+
+
 class Underway(NamedTuple):
     event: int
     launch: int
--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -417,6 +417,15 @@
         self.history.post("called", func)
         self.post("route", evt)
 
+    def foreseen(self, note):
+        """Exception: a copy is ordered at the home before the first event, by the same gate as all orders."""
+        name = note.function
+        func = self.history.functions[name] = self.history.functions.get(name) or Function(name, self.deed.me)
+        func.count = max(1.0, func.count)       # so that the line outlives the load
+        home = self.zone.heir(func.home, lambda h: func.refused.get(h, 0) <= self.now)
+        if home and not home.holds(func, self.now):
+            self.order(func, home)
+
     def underway(self, note):
         if note.event in self.events:
             self.events[note.event].streams = True
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -110,6 +110,20 @@
     assert fleet.gate.order(funcs[5], host) and not fleet.gate.order(funcs[6], host)
 
 
+def test_a_function_foreseen_is_opened_at_its_home_within_the_ration_and_never_at_one_that_drains():
+    fleet = Fleet(orders=True, loads_free=2.0, loads_share=0.1, loads_within=5000.0)
+    orders = [a for i in range(6) for a in fleet.take(io.Foreseen(f"deed@{i}")) if isinstance(a, io.Order)]
+    assert len(orders) == 2 and orders[0].function == "deed@0"
+    home = orders[0].host
+    assert fleet.take(io.Foreseen("deed@0")) == [], "one order is out already"
+    fleet.take(io.Loaded("deed@0", home, io.HANDLED, 1, 300.0))
+    assert fleet.handle("deed@0") == home
+    other = Fleet(orders=True)
+    other.list(**{home: {"state": io.DRAINING}})
+    [order] = [a for a in other.take(io.Foreseen("deed@0")) if isinstance(a, io.Order)]
+    assert order.host != home
+
+
 def test_host_that_misses_is_given_an_order_and_the_event_follows_it():
     fleet = Fleet(orders=True, misses=True)
     event, _ = fleet.event()
