--- a/cherrydoor/frames/messages.py
+++ b/cherrydoor/frames/messages.py
@@ -21,7 +21,7 @@
 Final = Literal["handled", "deferred", "dead-lettered"]
 State = Literal["ready", "draining", "gone"]
 How = Literal["changes", "whole"]
-Role = Literal["client", "gateway", "host", "store", "list"]
+Role = Literal["client", "gateway", "host", "store", "list", "feed"]
 
 
 class Message(Struct, tag_field="is", omit_defaults=True, gc=False):
@@ -64,6 +64,7 @@
     lanes: Annotated[float, Meta(ge=0.0, le=1e6)] = 1.0
     load: Span = 0.0            # usual time of a load, 0 where not known
     body: bytes = b""
+    document: Name = ""         # by which versions are dealt out
 
 
 class Withdraw(Message, tag="withdraw"):
@@ -93,6 +94,7 @@
     limit: Span                 # the gateway waits no longer than this
     number: Count = 0           # which launch of the event this is, from 0
     mark: Name = ""
+    usual: Span = 0.0           # an event that takes longer is slow, 0 where not known
     body: bytes = b""
 
 
@@ -107,6 +109,7 @@
     crowd: Count = 0            # events of the same function that the host held
     held: Span | None = None    # events it held in all, by its last report
     body: bytes = b""
+    tally: tuple[Count, Count, Count] | None = None     # events, errors, slow of this version since the host started
 
 
 class Underway(Message, tag="underway"):
@@ -187,13 +190,28 @@
     rows: list[Row] = []
 
 
+class Release(Struct, omit_defaults=True, gc=False):
+    """A version of a function, and what has become of it where it is released."""
+    function: Name
+    version: Count
+    state: Literal["announced", "withdrawn", "complete"] = "announced"
+
+
+class Releases(Message, tag="releases"):
+    """From the release feed; whole: all that it has, else what has changed."""
+    revision: Count
+    how: How
+    releases: list[Release] = []
+
+
 class Heard(Message, tag="heard"):
     """The gateway has read that revision."""
     revision: Count
 
 
 ALL = (Hello, Fault, Leaving, Event, Withdraw, Answer, Started, Launch, Recall, Outcome, Underway, Probe, Probed,
-       Order, Ordered, Drop, Dropped, Fetch, Fetched, Follow, Ask, Rows, Heard)
+       Order, Ordered, Drop, Dropped, Fetch, Fetched, Follow, Ask, Rows, Releases,
+       Heard)
 ALWAYS = (Hello, Fault)
 # What each end takes from each other end; any other kind is unknown there.
 FROM_CLIENT = (*ALWAYS, Event, Withdraw)
@@ -204,3 +222,5 @@
 FROM_STORE = (*ALWAYS, Fetched)
 TO_LIST = (*ALWAYS, Follow, Ask, Heard)
 FROM_LIST = (*ALWAYS, Rows)
+TO_FEED = (*ALWAYS, Follow, Heard)
+FROM_FEED = (*ALWAYS, Releases)
--- a/cherrydoor/gateway/desk.py
+++ b/cherrydoor/gateway/desk.py
@@ -11,6 +11,7 @@
 
 from cherrydoor import interface as io
 from cherrydoor.frames import messages as m
+from cherrydoor.versions import decide as v
 
 DIALING, OPEN, SHUT = "dialing", "open", "shut"
 
@@ -32,21 +33,23 @@
 class Taken:
     """An event from its arrival to its final answer and the last of its launches."""
 
-    __slots__ = ("number", "event", "client", "until", "launches", "out", "over", "streams", "at", "told")
+    __slots__ = ("number", "event", "client", "until", "launches", "out", "over", "streams", "at", "told",
+                 "function")
 
     def __init__(self, number, event, client, until, at):
         self.number, self.event, self.client, self.until, self.at = number, event, client, until, at
         self.launches, self.out, self.over, self.streams, self.told = [], 0, False, False, ""
+        self.function = event.function      # the version that the module knows it by
 
 
 class Sent:
     """A launch, a probe or an order that a host owes an end; `kind` is the note's type that will tell it."""
 
-    __slots__ = ("kind", "id", "at", "link", "taken", "index", "function", "fate")
+    __slots__ = ("kind", "id", "at", "link", "taken", "index", "function", "fate", "called")
 
     def __init__(self, kind, number, at, link, taken=None, index=0, function=""):
         self.kind, self.id, self.at, self.link, self.taken = kind, number, at, link, taken
-        self.index, self.function, self.fate = index, function, None
+        self.index, self.function, self.fate, self.called = index, function, None, function
 
 
 class Link:
@@ -73,7 +76,10 @@
     """One gateway's events, launches and links. Tables: `taken` empties with final answers, `hosts` when gone and
     unlinked, `alarms` within the longest max age, links with their use."""
 
-    def __init__(self, gate, terms, dial, now, hear=None):
+    def __init__(self, gate, terms, dial, now, hear=None, versions=None, ended=None):
+        """versions: names the version that an event calls, where releases are gradual; ended(note) is told of each
+        launch and order to load that has ended."""
+        self.versions, self.ended = versions, ended or (lambda note: None)
         self.gate, self.terms, self.dial, self.hear = gate, terms, dial, hear or (lambda asked: None)
         self.now, self.numbers, self.draining = now, 0, None
         self.inputs, self.notes, self.alarms = [], deque(), []
@@ -151,7 +157,9 @@
             self.taken[taken.number] = client.open[event.id] = taken
             self.counts["taken"] += 1
             self.alarm(until, self.overdue, taken)
-            self.notes.append(io.Arrival(taken.number, event.clause, event.party, event.function, until,
+            if self.versions is not None:
+                taken.function = self.versions.choose(event.function, event.document or event.mark or client.name)
+            self.notes.append(io.Arrival(taken.number, event.clause, event.party, taken.function, until,
                                          event.lanes, event.load))
 
     def refuse(self, client, event, reason, stay, fate="deferred"):
@@ -221,8 +229,13 @@
         if host is None or taken.over or taken.streams or limit <= 0:
             self.done(sent, io.UNSENT)
             return
-        self.send(host, sent, m.Launch(sent.id, event.id, taken.client.name, event.clause, event.function, limit,
-                                       index, event.mark, event.body))
+        sent.called, usual = taken.function, 0.0
+        if self.versions is not None:
+            if any(other.fate == io.ERROR for other in taken.launches):
+                sent.called = self.versions.again(taken.function)
+            usual = self.versions.usual(event.function)
+        self.send(host, sent, m.Launch(sent.id, event.id, taken.client.name, event.clause, sent.called, limit,
+                                       index, event.mark, usual, event.body))
         self.counts["launches"] += 1
         if action.limit and self.now + limit < taken.until:
             self.alarm(self.now + limit, self.cut, sent, io.NO_ANSWER)
@@ -333,7 +346,7 @@
             self.underway(sent)
         elif kind is io.Probed and type(message) is m.Probed or kind is io.Loaded and type(message) is m.Ordered:
             self.done(sent, message.fate, message)
-        else:
+        elif type(message) is not m.Dropped:
             self.counts["answers to what is over or was never asked there"] += 1
 
     def underway(self, sent):
@@ -367,6 +380,7 @@
             self.notes.append(io.Probed(name, fate, took))
         elif sent.kind is io.Loaded:
             self.notes.append(io.Loaded(sent.function, name, fate, message.copies if message else 0, took))
+            self.ended(v.Loaded(sent.function, fate, took))
         else:
             self.landed(sent, fate, took, name, message)
 
@@ -379,6 +393,12 @@
         elif not taken.over and broken:
             self.answer(taken, m.Answer(taken.event.id, "dead-lettered", 0.0, "the stream broke"))
         told = (message.copy, message.crowd, message.held) if message else (0, 0, None)
+        if self.versions is not None and sent.link:
+            copy = told[0]
+            self.ended(v.Ended(sent.called, name, fate, took, copy in (2, 3), copy == 4,
+                               message.tally if message else None, taken.event.party))
+            if sent.called != taken.function:       # what it says of copies is of another version than the module's
+                told = (0, 0, told[2])
         self.notes.append(io.Outcome(taken.number, sent.index, fate, taken.over, name, took, *told))
         self.forget(taken)
 
@@ -424,6 +444,19 @@
         """The list as last held, for the next start."""
         return [h.row for h in self.hosts.values() if h.row.state != "gone"]
 
+    # ---- releases
+    def foreseen(self, name):
+        self.notes.append(io.Foreseen(name))
+
+    def unload(self, name, hosts):
+        """Idle copies of a version may go; nobody waits for an answer."""
+        for one in hosts:
+            host = self.hosts.get(one)
+            link = next((ln for ln in host.links if ln.state == OPEN), None) if host else None
+            if link is not None:
+                self.numbers += 1
+                link.write(m.Drop(self.numbers, name))
+
     # ---- leaving
     def drain(self, reason):
         """Takes nothing new from now on; what is open is answered. Clients are told once."""
--- a/cherrydoor/gateway/shell.py
+++ b/cherrydoor/gateway/shell.py
@@ -17,6 +17,7 @@
 from cherrydoor.gateway.desk import Client, Desk
 from cherrydoor.keys import decide as k
 from cherrydoor.keys.keeper import Keeper, NotProved, Where
+from cherrydoor.versions.feed import Releases
 
 log = structlog.get_logger()
 
@@ -299,11 +300,13 @@
         said = {name: value for name, value in figures.keys.items() if name not in ("standing", "warn")}
         self.keeper = Keeper(Where(**said, usage=figures.usage), self.door.put_out)
         self.done = self.loop.create_future()
+        self.releases = Releases(self, figures.releases) if figures.releases["feed"] else None
         self.desk = self.new_desk()
 
     def new_desk(self):
+        more = (self.releases.versions, self.releases.post) if self.releases else (None, None)
         return Desk(self.make_gate(self.figures.lease), self.figures.terms, self.floor.dial, self.clock.now(),
-                    self.roll.hear)
+                    self.roll.hear, *more)
 
     def hello(self):
         return m.Hello(m.VERSION, "gateway", self.figures.name, self.clock.now(), 0.0, self.bounds.frame,
@@ -315,6 +318,8 @@
         if saved is not None:
             self.post(self.desk.listed, io.SAVED, saved)
         self.roll.start()
+        if self.releases:
+            await self.releases.start()
         self.port = Listener(self.hall, address(self.figures.door), lambda arrival: ClientEnd(self, arrival),
                              (lambda: self.keeper.server) if self.keeper.sealed else None).port
         self.set_timer()
@@ -380,6 +385,8 @@
     async def stop(self):
         self.hall.close()
         self.keeper.close()
+        if self.releases:
+            self.releases.close()
         self.roll.task.cancel()
         for end in list(self.door.ends):
             end.close()
--- a/cherrydoor/lease/figures.py
+++ b/cherrydoor/lease/figures.py
@@ -66,6 +66,7 @@
         self.saved = Path(said["saved"]) if said["saved"] else None
         self.metrics = said["metrics"]
         self.manners, self.memory = manners_of(said), said["admission"]["memory"]
+        self.releases = said["releases"]
         self.keys, self.usage = said["keys"], Usage(said["keys"]["standing"], said["keys"]["warn"], said["seed"])
         self.bounds = Bounds(bounds)
         self.terms = Terms(bounds["spare"], bounds["open_events"], bounds["launches_on_a_link"],
@@ -103,6 +104,10 @@
         good = host and port.isdigit() and int(port) < 65536
         check(good or path == "metrics" and not said[path], path, "an address:port", repr(said[path]))
     check(said["number"] < said["gateways"], "number", f"a number below {said['gateways']} gateways", said["number"])
+    feed = said["releases"]["feed"].rpartition(":")
+    check(not said["releases"]["feed"] or feed[0] and feed[2].isdigit() and int(feed[2]) < 65536, "releases.feed",
+          "an address:port", repr(said["releases"]["feed"]))
+    check(said["releases"]["feed"] or not said["releases"]["control"], "releases.control", "a feed beside it", "none")
     keys = said["keys"]
     check(bool(keys["certificate"]) == bool(keys["key"]), "keys.key", "a certificate and its key, or neither",
           repr(keys["key"]))
--- a/cherrydoor/lease/records.py
+++ b/cherrydoor/lease/records.py
@@ -17,7 +17,7 @@
 LARGEST = 128 * 1024        # characters of a file
 MARKS = 8000                # separators, colons, brackets and operators in it, which is what reading it takes
 DEEPEST = 40                # brackets within brackets
-STEPS = 8000                # evaluations for one file
+STEPS = 12000                # evaluations for one file
 MOST = 25                   # problems told
 SCHEMA = 10**6              # lines of the schema are counted from here on, to tell them from the file's own
 
--- a/cherrydoor/rehearsal/bench_day.py
+++ b/cherrydoor/rehearsal/bench_day.py
@@ -96,6 +96,7 @@
         "ration": {"free": fam["load_free"], "share": fam["load_share"],
                    "within": ms(fam["load_window"]) if fam["load_free"] or fam["load_share"] else 0.0},
         "linger": ms(fam["stated_keep"]),
+        "feed": {"gradual": False, "notice": [0.05, 0.5], "misses": 0.0},
         "doors": {"tls": False, "known": 0, "places": 4096, "descriptors": 0, "standing": 20000.0},
         "troubles": [t for t in (trouble(t, said, count, gateways, ms) for t in said["troubles"]) if t]}
     left = ["jitter and delay of the net", "thrash of hosts that hold too many", "caps on connections"]
--- a/cherrydoor/rehearsal/conduct.py
+++ b/cherrydoor/rehearsal/conduct.py
@@ -133,7 +133,7 @@
         self.record = Record(self.traffic, "conductor", "conductor")
         self.parts, self.gateways, self.doors, self.ids = [], {}, {}, {}
         self.rows, self.codes, self.tasks, self.ports = {}, [], set(), Ports(day["seed"])
-        self.replaced = set()
+        self.replaced, self.feed_at = set(), ""
 
     def part(self, name):
         part = Part(name, self.log_file)
@@ -178,6 +178,11 @@
             build = self.builds[number]
             await self.row(number, host, "ready", 0.0, build)
         self.make_keys()
+        if day["feed"]["gradual"]:
+            self.feed = await self.part("feed").start("stand-in", "feed", given={"record": traffic, "figures": {
+                "notice": [1000 * n for n in day["feed"]["notice"]], "misses": day["feed"]["misses"],
+                "seed": day["seed"]}})
+            self.feed_at = f"127.0.0.1:{(await self.feed.until('ready'))['port']}"
         count, together = day["gateways"]["count"], day["gateways"]["in_a_process"]
         groups = in_processes(count, together, len(day["fleet"]["floors"]))
         for i in range(0, len(groups), 8):
@@ -216,7 +221,7 @@
         for number in group:
             door = self.doors.get(number) or self.ports.take()
             path = self.folder / f"g{number}.lease"
-            path.write_text(show(lease_values(self.day, number, door, self.list_at, self.folder)) + "\n")
+            path.write_text(show(lease_values(self.day, number, door, self.list_at, self.folder, self.feed_at)) + "\n")
             words += ["--lease", str(path)]
         decides = self.day["gateways"]["decides"]
         await part.start("gateway", *words, "--tied", "--announce",
@@ -334,6 +339,14 @@
                 self.keys.issue("gateway", f"g{number}", addresses=["127.0.0.1"])
             await asyncio.sleep(0.4)
 
+    async def do_release(self, functions, version, bad):
+        """A version is announced where there is a feed; where there is none all copies go void, as on other days."""
+        if not self.day["feed"]["gradual"]:
+            return await self.do_flush(functions, version)
+        if bad:
+            await self.farm.tell("bad", functions=[f"{name}@{version}" for name in functions], **bad)
+        await self.feed.tell("release", functions=functions, version=version)
+
     def mates(self, gateway):
         part, group = self.gateways[gateway]
         return part, group
--- a/cherrydoor/rehearsal/day.py
+++ b/cherrydoor/rehearsal/day.py
@@ -52,7 +52,7 @@
     return found
 
 
-def lease_values(day, number, door, listing, folder, decides=None):
+def lease_values(day, number, door, listing, folder, feed=""):
     """The lease of one gateway of the day, as plain values."""
     may, floors = day["may"], day["fleet"]["floors"]
     return {
@@ -68,6 +68,8 @@
                    "within": ms(day["ration"]["within"])},
         "may": {k: may[k] for k in ("launches", "twice", "recall", "probe", "order")} | {"advice": ms(may["advice"])},
         "bounds": {"spare": ms(day["spare"])} | doors(day)[0], **doors(day)[1], **keys_of(day, number, folder),
+        **({"releases": {"feed": feed, "saved": str(folder / f"g{number}.releases"),
+                         "control": str(folder / f"g{number}.sock")}} if feed else {}),
         "linger": ms(day["linger"]), "misses": day["fleet"]["misses"]}
 
 
--- a/cherrydoor/rehearsal/troubles.py
+++ b/cherrydoor/rehearsal/troubles.py
@@ -157,6 +157,22 @@
         self.add(at, "list", on=True)
         self.add(end, "list", on=False)
 
+    def release(self, trouble, at, end):
+        """A good version of `part` of the functions, the most-called first."""
+        self.add(at, "release", functions=self.foremost(trouble["part"]), version=int(at), bad={})
+
+    mass_release = release
+
+    def bad_release(self, trouble, at, end):
+        """One that fails on a share of events (size 0 to 1), or one that is slow (times, above 1)."""
+        size = trouble["size"]
+        self.add(at, "release", functions=self.foremost(trouble["part"]), version=int(at),
+                 bad={"fail": size} if size <= 1 else {"slow": size})
+
+    def foremost(self, part):
+        count = self.day["functions"]["count"]
+        return [function_name(f) for f in range(max(1, round(part * count)))]
+
     def flood(self, trouble, at, end):
         self.add(at, "flood", per_second=100.0 * trouble["size"])
         self.add(end, "flood", per_second=0.0)
--- a/cherrydoor/standin/command.py
+++ b/cherrydoor/standin/command.py
@@ -115,6 +115,11 @@
     def fail(self, functions, on=True):
         (self.farm.failing.update if on else self.farm.failing.difference_update)(functions)
 
+    def bad(self, functions, **what):
+        """What is wrong with these versions: parts `fail`, `crash`, `load_fail`, times `slow`; nothing mends them."""
+        for function in functions:
+            self.farm.bad[function] = what
+
     def who(self):
         return {h.id: {"up": h.up, "held": len(h.jobs) if h.up else 0, "started": h.since} for h in
                 self.farm.hosts.values()}
@@ -172,14 +177,31 @@
     record.close()
 
 
+async def feed(said):
+    from cherrydoor.standin.feed import Feed
+    record = Record(said.get("record"), "feed", "feed")
+    one = await Feed(record, **said.get("figures", {})).start(port=said.get("port", 0))
+
+    def obey(name, values):
+        if name == "release":
+            one.release(**values)
+        elif name == "misses":
+            one.misses = values["share"]
+        else:
+            raise ValueError(f"unknown: {name}")
+    say("ready", port=one.port)
+    await commands(obey)
+    record.close()
+
+
 async def crowd(said):
     from cherrydoor.standin.crowd import crowd as play
     await play(said, say, commands)
 
 
-KINDS = {"hosts": hosts, "store": store, "roll": roll, "crowd": crowd}
+KINDS = {"hosts": hosts, "store": store, "roll": roll, "crowd": crowd, "feed": feed}
 
 
 def main(kind, said):
-    """Runs one stand-in, kind 'hosts', 'store', 'roll' or 'crowd', until its standard input ends."""
+    """Runs one stand-in, kind 'hosts', 'store', 'roll', 'crowd' or 'feed', until its standard input ends."""
     uvloop.run(KINDS[kind](said))
--- a/cherrydoor/standin/host.py
+++ b/cherrydoor/standin/host.py
@@ -45,7 +45,7 @@
 
     def __init__(self, end, launch, copies):
         self.end, self.launch, self.copies, self.copy, self.crowd = end, launch, copies, 1, 0
-        self.serial, self.over = None, False
+        self.serial, self.over, self.at = None, False, now()
 
 
 class Host:
@@ -75,6 +75,7 @@
     def begin(self, cold):
         """A process that has just started: empty, and cold where it is told to be."""
         self.up, self.draining, self.started = True, False, now() if cold else 0.0
+        self.tallies = {}           # version -> events, errors, slow since the start
         self.since = time.time() * 1000 if cold else 0.0
         self.cores, self.functions, self.jobs = Cores(self.build.cores, now()), {}, {}
         self.loads, self.load_queue, self.reports, self.work = set(), deque(), deque(), deque()
@@ -182,7 +183,11 @@
             job = copies.waiting.popleft()
             copies.running += 1
             # an effect is one by its mark: a repeat that is remembered answers without one
-            work = self.draw(copies.facts.work)
+            bad = self.farm.bad.get(job.launch.function, {})
+            work = self.draw(copies.facts.work) * bad.get("slow", 1.0)
+            if self.chance() < bad.get("crash", 0.0):
+                self.loop.call_soon(self.kill, "crashed by a version")
+                self.loop.call_later(2.0, self.rise)
             if not self.farm.first(self, job.launch):
                 work = 0.1
             job.serial = self.cores.add(now(), self.speed(), work, lambda job=job: self.finished(job))
@@ -197,7 +202,9 @@
         if self.farm.effect(self, launch):
             self.record.add("effect", self.id, job.end.name, launch.id, launch.event, launch.number,
                             launch.function, launch.clause, launch.client, launch.mark)
-        fails = self.chance() < self.build.error_rate or launch.function in self.farm.failing
+        bad = self.farm.bad.get(launch.function, {})
+        fails = (self.chance() < self.build.error_rate or launch.function in self.farm.failing
+                 or self.chance() < bad.get("fail", 0.0))
         if self.lose and self.chance() < self.lose:
             self.record.add("answer lost", self.id, job.end.name, launch.id, launch.event, launch.number)
         else:
@@ -212,8 +219,20 @@
             self.record.add("outcome", self.id, job.end.name, launch.id, launch.event, launch.number,
                             launch.function, fate=fate, a=copy, b=job.crowd)
         held = self.told_held() if self.build.tells_held else None
+        tally = None
+        if fate == "handled" or fate == "error" and copy != 4:
+            told = self.tallies.setdefault(launch.function, [0, 0, 0])
+            told[0] += 1
+            told[1] += fate == "error"
+            told[2] += bool(fate == "handled" and copy == 1 and launch.usual and now() - job.at > launch.usual)
+            tally = tuple(told)
         self.say(job.end, m.Outcome(launch.id, fate, copy if fate == "handled" or copy == 4 else 0, job.crowd, held,
-                                    body))
+                                    body, tally))
+
+    def rise(self):
+        """Up again by itself after a version took it down: the list is not told, its own hello is."""
+        if not self.up:
+            self.loop.create_task(self.start(cold=True))
 
     def let_go(self, job):
         """Its gateway waits no longer: work stops, a load that has begun goes on."""
@@ -262,7 +281,8 @@
                               and self.fetched(copies, began, facts))
 
     def fetched(self, copies, began, facts):
-        if facts.fate != "handled" or self.chance() < self.build.load_fail:
+        unfit = self.chance() < self.farm.bad.get(copies.name, {}).get("load_fail", 0.0)
+        if facts.fate != "handled" or self.chance() < self.build.load_fail or unfit:
             return self.load_over(copies, began, False)
         copies.facts = facts
         if self.build.disk:
@@ -432,6 +452,7 @@
         self.record, self.catalogue, self.seed, self.loop = record, catalogue, seed, asyncio.get_running_loop()
         self.hosts, self.store, self.marks, self.failing = {}, Store(self), {}, set()
         self.releases = {}
+        self.bad = {}               # version -> what is wrong with it: parts fail, crash, load_fail; times slow
 
     async def add(self, name="127.0.0.1:0", build=None, cold=False):
         host = Host(self, name, build or Build(), f"{self.seed}/{len(self.hosts)}")
--- a/cherrydoor/versions/decide.py
+++ b/cherrydoor/versions/decide.py
@@ -499,7 +499,8 @@
                 one["release"] = {"version": release.version, "step": release.step,
                                   "state": ANNOUNCED if release.state == LOADING else release.state,
                                   "spent": self.now - release.since, "carried": release.carried,
-                                  "held": release.held, "why": release.why, "fallback": release.fallback, "new": release.new.kept(), "old": release.old.kept()}
+                                  "held": release.held, "why": release.why, "fallback": release.fallback,
+                                  "new": release.new.kept(), "old": release.old.kept()}
         return found
 
     def take_back(self, kept):
