Connections of old keys are told to leave before they are closed; the audit knows silent ends

Change: leaving first, then the close, once nothing is open and the client has been quiet for 250 ms. The audit matches recalls by connection and id, and takes an answer that was lost for the end of its launch.

--- a/cherrydoor/gateway/shell.py
+++ b/cherrydoor/gateway/shell.py
@@ -40,6 +40,7 @@
 
 HELLO = 8192        # bytes of the longest hello that is read
 EASE, LONGEST_EASE = 0.1, 30.0      # s between looks at whether a connection that is to end has anything open
+QUIET = 250.0       # ms without a word from a client before its connection is closed on it
 
 
 class ClientEnd(Read, End):
@@ -102,12 +103,18 @@
             shell.post(shell.desk.withdrawn, end.client, message.id)
 
     def put_out(self, end, why, at_once, since=None):
-        """Ends a connection whose keys are out of service; unless at once, when nothing is open on it."""
+        """Ends a connection whose keys are out of service. Unless at once the client is told to go elsewhere, and it
+        is closed when nothing is open on it and nothing has come for a while: what is under way to us while we close
+        would be cut off untaken."""
         loop = asyncio.get_running_loop()
-        since = loop.time() if since is None else since
         if end not in self.ends:
             return
-        if at_once or not end.client.open or loop.time() - since > LONGEST_EASE:
+        if since is None:
+            since = loop.time()
+            if not at_once:
+                end.write(m.Leaving(why))
+        quiet = self.shell.clock.now() - max(end.arrival.caller.used, 1000 * since + self.shell.clock.ahead) > QUIET
+        if at_once or not end.client.open and quiet or loop.time() - since > LONGEST_EASE:
             self.shell.desk.counts["connections put out"] += 1
             end.close(why)
         else:
--- a/cherrydoor/rehearsal/audit.py
+++ b/cherrydoor/rehearsal/audit.py
@@ -172,7 +172,10 @@
     def launch_ends(self):
         """When each launch ended as its host saw it: answered, recalled, cut, or past its limit."""
         found = {}
-        recalls = {key(r): r["t"] for r in self.seen.of("host", "recall")}
+        recalls = defaultdict(list)     # of what has run to its end the host knows the id alone
+        for row in self.seen.of("host", "recall"):
+            recalls[row["who"], row["peer"], row["id"]].append(row["t"])
+        lost = {key(r): r["t"] for r in self.seen.of("host", "answer lost")}        # it ran, and nobody was told
         cuts = {key(r): r["t"] for r in self.seen.of("host", "cut")}
         downs = defaultdict(list)
         for row in self.seen.of("host", "host down"):
@@ -180,7 +183,8 @@
         for launches in self.launches.values():
             for row in launches:
                 k = key(row)
-                times = [row["t"] + row["a"], recalls.get(k, 1e18), cuts.get(k, 1e18)]
+                times = [row["t"] + row["a"], cuts.get(k, 1e18), lost.get(k, 1e18)]
+                times += [t for t in recalls.get(k[:3], ()) if t >= row["t"]]
                 if k in self.outcomes:
                     times.append(self.outcomes[k]["t"])
                 times += [t for t in downs[row["who"]] if t >= row["t"]]
--- a/cherrydoor/standin/host.py
+++ b/cherrydoor/standin/host.py
@@ -218,6 +218,8 @@
         if not self.quiet:
             self.record.add("outcome", self.id, job.end.name, launch.id, launch.event, launch.number,
                             launch.function, fate=fate, a=copy, b=job.crowd)
+        else:
+            self.record.add("answer lost", self.id, job.end.name, launch.id, launch.event, launch.number)
         held = self.told_held() if self.build.tells_held else None
         tally = None
         if fate == "handled" or fate == "error" and copy != 4:
