--- a/tests/rehearsal/test_audit.py
+++ b/tests/rehearsal/test_audit.py
@@ -102,6 +102,15 @@
     assert run.judge(tmp_path)[0] == [(2, 6)]
 
 
+@pytest.mark.parametrize("end", ["answer lost", "recall"])
+def test_a_launch_that_a_silent_host_ran_to_its_end_is_out_no_more(run, tmp_path, end):
+    run.drop("effect", 6)
+    run.find("outcome", 6).update(what=end, t=2640.0, event=0 if end == "recall" else 6)
+    run.launch(6, 2650.0, host="h2", took=300.0)
+    run.find("answer", 6)["t"] = 2990.0
+    assert run.judge(tmp_path)[0] == []
+
+
 def test_a_launch_to_a_draining_host_after_the_grace(run, tmp_path):
     run.tell(10000.0, 2, "g0", {"h2": "draining"})
     run.event(100, 10900.0, host="h2")
