The audit tells releases by version, and what the store bore

Need: events harmed by a bad version and the store's peak in a mass release could not be read off a report.

Change: launches, errors and span of each version over all gateways; fetches, refusals and most at once of the store.

--- a/bench/releases.py
+++ b/bench/releases.py
@@ -1,6 +1,6 @@
 """Measures releases by the decision module alone, over many seeded ones: how long until each gateway has come to an
-end, and how many events were harmed, by rate of failure, calls and what the gateways go by. `make bench-releases` prints the
-table and draws the chart that docs/measurements.md keeps.
+end, and how many events were harmed, by rate of failure, calls and what the gateways go by. `make bench-releases`
+prints the table and draws the chart that docs/measurements.md keeps.
 """
 
 import sys
--- a/cherrydoor/rehearsal/audit.py
+++ b/cherrydoor/rehearsal/audit.py
@@ -372,6 +372,22 @@
         return {"events": len(took), "share": good / max(1, len(took)),
                 "p99": found[int(len(found) * 0.99)] if found else 0.0}
 
+    def releases(self):
+        """Version -> launches, errors and, in s of the run, from when until when it was launched, over all gateways;
+        those with most errors first, twenty at most."""
+        found = {}
+        for launches in self.launches.values():
+            for row in launches:
+                if "@" not in row["function"]:
+                    continue
+                one = found.setdefault(row["function"], {"launches": 0, "errors": 0, "from": 1e18, "until": 0.0})
+                outcome, at = self.outcomes.get(key(row)), (row["t"] - self.begun) / 1000
+                one["launches"] += 1
+                one["errors"] += outcome is not None and outcome["fate"] == "error"
+                one["from"], one["until"] = min(one["from"], round(at, 1)), max(one["until"], round(at, 1))
+        ranked = sorted(found.items(), key=lambda item: (-item[1]["errors"], -item[1]["launches"], item[0]))
+        return dict(ranked[:20])
+
     def report(self):
         for rule in (self.rule_1, self.rule_2, self.rule_3, self.rule_4, self.rule_5):
             rule()
@@ -406,6 +422,9 @@
             "launches": sum(launches.values()), "effects": len(seen.of("host", "effect")), "outcomes": dict(hosts),
             "fell": len(seen.of("host", "fell")),
             "lag_ms": {f"p{p:g}": float(np.percentile(lag, p)) for p in (50, 99, 99.9, 100)} if len(lag) else {},
+            "releases": self.releases(), "store": {
+                "fetches": len(seen.of("store", "fetch")), "refused": len(seen.of("store", "fetch refused")),
+                "most at once": int(max((r["a"] for r in seen.of("store", "fetch")), default=0.0))},
             "doors": self.doors(), "during": {kind: one for kind in sorted({t["what"] for t in troubles})
                                              if (one := self.during(kind))},
             "line": line, "troubles": troubles, "warm": self.warm}
--- a/cherrydoor/rehearsal/report.py
+++ b/cherrydoor/rehearsal/report.py
@@ -47,6 +47,11 @@
         console.print(came)
         if one := found["doors"].get("flood"):
             console.print("flood: " + ", ".join(f"{v} {k}" for k, v in one.items()))
+    if found["releases"]:
+        versions = Table("version", "launches", "errors", "from s", "until")
+        for name, one in list(found["releases"].items())[:8]:
+            versions.add_row(name, *(str(one[k]) for k in ("launches", "errors", "from", "until")))
+        console.print(versions)
     if found["lag_ms"]:
         console.print("the generator sent late by ms: " + ", ".join(
             f"{name} {value:.1f}" for name, value in found["lag_ms"].items()))
