An emulator: the same gateways, hosts and clients on an event loop whose time jumps

Change: cherrydoor/emulator: an event loop of asyncio whose clock moves on where it would wait and whose connections are pairs of transports in memory. Gateways (desk, shell, admission, versions), hosts, store, list, feed and clients run on it with the text that runs in service; steps and audit are the rehearsals'. Sets that were gone through by address are ordered now, and a record loses no row to its writing thread.

--- a/cherrydoor/cli/commands.py
+++ b/cherrydoor/cli/commands.py
@@ -388,3 +388,38 @@
 def audit_command(folder, as_json):
     """Judge the five rules from the traffic in FOLDER and tell how well the clients were served."""
     judge(folder, as_json)
+
+
+@main.command()
+@click.argument("day")
+@click.option("--out", type=click.Path(), help="Folder for traffic and report.")
+@click.option("--seed", type=int, help="In place of the day's own.")
+@click.option("--decides", type=click.Choice(["module", "random", "least-out"]))
+@click.option("--without", multiple=True, help="A kind of trouble that is left out; its time is still marked.")
+@click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
+def emulate(day, out, seed, decides, without, as_json):
+    """Play DAY in virtual time, in this one process, with the same gateways, hosts and clients, then judge it.
+
+    The same seed gives the same run to the last byte. Exits as `rehearse` does.
+    """
+    from cherrydoor.cli import logs
+    from cherrydoor.emulator.play import emulate as play
+    from cherrydoor.lease import Problems
+    from cherrydoor.rehearsal.conduct import CannotRun
+    from cherrydoor.rehearsal.day import read_day
+    logs.set_up("error")
+    try:
+        said = read_day(day, seed=seed)
+    except Problems as error:
+        print(error, file=sys.stderr)
+        sys.exit(NOT_MADE)
+    said["without"] = list(without)
+    if decides:
+        said["gateways"]["decides"] = decides
+    folder = Path(out or f"found/{said['name']}-{said['seed']}-emulated-{int(time.time())}")
+    try:
+        play(said, folder)
+    except (CannotRun, OSError) as error:
+        print(f"the run could not be made: {error}", file=sys.stderr)
+        sys.exit(NOT_MADE)
+    judge(folder, as_json)
--- /dev/null
+++ b/cherrydoor/emulator/play.py
@@ -0,0 +1,305 @@
+"""Plays a day as rehearsals do, in one process and in virtual time. What is judged is the same traffic."""
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+
+from cherrydoor.admission import decide as d
+from cherrydoor.admission.listener import word_of
+from cherrydoor.emulator.world import World
+from cherrydoor.ends import End
+from cherrydoor.frames import messages as m
+from cherrydoor.gateway.shell import Shell
+from cherrydoor.lease import read, show
+from cherrydoor.lease.figures import Figures, schema
+from cherrydoor.logic import Gateway
+from cherrydoor.rehearsal.baselines import MAKERS
+from cherrydoor.rehearsal.clients import Clients
+from cherrydoor.rehearsal.conduct import CannotRun, Conductor, in_processes
+from cherrydoor.rehearsal.day import builds, lease_values, terms
+from cherrydoor.standin.catalogue import Catalogue
+from cherrydoor.standin.command import HostCommands
+from cherrydoor.standin.feed import Feed
+from cherrydoor.standin.host import Build, Farm
+from cherrydoor.standin.record import Clocks, Record, now
+from cherrydoor.standin.roll import Roll
+from cherrydoor.standin.store import Store
+
+LEFT_OUT = ("flood", "reconnect", "key-change")     # they are of sockets, descriptors and TLS
+
+
+class Clock:
+    """A gateway's clock on the world's time."""
+
+    def __init__(self, world):
+        self.world, self.ahead = world, world.wall() * 1000 - world.time() * 1000
+
+    def now(self):
+        return self.world.time() * 1000 + self.ahead
+
+
+class Uses:
+    """Nothing is short here."""
+
+    def measure(self):
+        return d.Measured(0.0, 0.0, 0.0)
+
+    def take_back(self):
+        pass
+
+    def let_go(self):
+        return False
+
+    def close(self):
+        pass
+
+
+class Arrival:
+    """A connection on its way in, on a pipe in place of a socket."""
+
+    def __init__(self, shell, make, pipe):
+        self.hall, self.make, self.pipe, self.end = shell.hall, make, pipe, None
+        self.caller = d.Caller(pipe.other.address, shell.hall.clock.now(), self)
+
+    def let_in(self):
+        self.pipe.world.call_soon(lambda: self.pipe.closing or self.pipe.world.attach(self.pipe, self.make(self)))
+
+    def seat(self, largest):
+        self.end.seated(largest)
+
+    def refuse(self, word, stay_away):
+        if self.end is not None:
+            return self.end.close(word, stay_away)
+        self.pipe.protocol = asyncio.BaseProtocol()
+        self.pipe.write(word_of(word, -(-stay_away // 10) * 10.0))
+        self.pipe.close()
+
+    def pause(self):
+        self.end.pause()
+
+    def resume(self):
+        self.end.resume()
+
+
+class Door(Shell):
+    """A gateway of the daemon's own text; dead or standing still where the day says so."""
+
+    def __init__(self, world, figures, gate):
+        self.world, self.dead, self.stands, self.late, self.listener = world, False, False, False, None
+        super().__init__(figures, gate, Uses(), None, Clock(world))
+
+    def listen(self, where, make, context):
+        host, port = where
+
+        def accept(pipe):
+            pipe.frozen = self.stands
+            self.hall.post(d.Knock(Arrival(self, make, pipe).caller))
+        self.listener = self.world.listen(host, port, accept)
+        return self.listener.getsockname()[1]
+
+    def post(self, what, *args):
+        if not self.dead:
+            super().post(what, *args)
+
+    def turn(self):
+        if self.dead:
+            return
+        if self.stands:
+            self.late = True
+            return
+        super().turn()
+
+    def set_timer(self):
+        if not self.dead:
+            super().set_timer()
+
+    def wires(self):
+        """All its transports."""
+        found = [end.transport for end in self.door.ends]
+        found += [caller.wire.end.transport for caller in list(self.hall.guard.porch.unshown) if caller.wire.end]
+        found += [link.wire.transport for host in self.desk.hosts.values() for link in host.links if link.wire]
+        found += [end.transport for end in (self.roll.end, self.releases and self.releases.end) if end]
+        return [wire for wire in found if wire is not None]
+
+    def kill(self):
+        self.dead = True
+        self.listener.close()
+        self.hall.timer.cancel()
+        self.roll.task.cancel()
+        for task in self.releases.tasks if self.releases else ():
+            task.cancel()
+        if self.timer:
+            self.timer.cancel()
+        for wire in self.wires():
+            wire.abort()
+
+    def stand(self, still):
+        self.stands = still
+        for wire in self.wires():
+            wire.frozen = still
+            if not still:
+                self.world.call_soon(wire.release)
+        if not still and self.late:
+            self.late = False
+            self.world.call_soon(self.turn)
+
+
+class Spoken:
+    """What a rehearsal's conductor takes for a process: a command is obeyed at once."""
+
+    returncode = None
+
+    def __init__(self, name, obey):
+        self.name, self.obey, self.process = name, obey, self
+
+    def tell(self, do, **values):
+        future = asyncio.get_running_loop().create_future()
+        result = self.obey(do, values)
+        if asyncio.iscoroutine(result):
+            return asyncio.ensure_future(result)
+        future.set_result(result)
+        return future
+
+
+class Emulation(Conductor):
+    """A day's conductor whose parts are all here."""
+
+    def __init__(self, day, folder, tell=lambda text: None):
+        if day["doors"]["tls"]:
+            day = day | {"doors": day["doors"] | {"tls": False}}
+        super().__init__(day | {"without": [*day.get("without", ()), *LEFT_OUT]}, folder, tell)
+        self.world: Any = asyncio.get_running_loop()
+        self.records, self.shells = [self.record], {}
+        self.ports: Any = self      # ports are the world's
+
+    def take(self):
+        """A free port as an address; ids of hosts go up with time, as in rehearsals."""
+        return f"127.0.0.1:{self.world.take_port()}"
+
+    def kept(self, end, who):
+        record = Record(self.traffic, end, who)
+        self.records.append(record)
+        return record
+
+    async def play(self):
+        try:
+            await self.begin()
+            await self.follow()
+            await self.finish()
+        finally:
+            for task in self.tasks:
+                task.cancel()
+            for record in self.records:
+                record.close()
+            self.log_file.close()
+
+    async def begin(self):
+        day = self.day
+        self.record.add("terms", text=json.dumps(terms(day)))
+        catalogue = Catalogue(**{k: day["functions"][k] for k in ("memory", "load", "work", "lanes", "fetch", "core")})
+        store = await Store(self.kept("store", "store"), catalogue, **day["store"]).start()
+        self.store = Spoken("store", lambda name, values: store.set(**values) if name == "set" else
+                            store.releases.update(dict.fromkeys(values["functions"], values["release"])))
+        farm = Farm(self.kept("host", "farm"), catalogue, day["seed"])
+        farm.scopes = {e["name"]: e["group"] for e in day["events"] if e["kind"] == "keyed"}
+        await self.world.create_connection(
+            lambda: End(farm.store, m.FROM_STORE, lambda: m.Hello(m.VERSION, "host", "farm")), "127.0.0.1", store.port)
+        self.farm, self.builds = Spoken("hosts", HostCommands(farm)), builds(day)
+        for number, build in enumerate(self.builds):
+            self.ids[number] = (await farm.add(self.take(), Build(**build))).id
+        farm.sweep()
+        roll = await Roll(self.kept("list", "list"), [1000 * n for n in day["list"]["notice"]], day["list"]["stale"],
+                          day["seed"]).start()
+        self.list, self.list_at = Spoken("list", lambda name, values: self.obey_list(roll, name, values)), (
+            f"127.0.0.1:{roll.port}")
+        for number, host in self.ids.items():
+            await self.row(number, host, "ready", 0.0, self.builds[number])
+        if day["feed"]["gradual"]:
+            feed = await Feed(self.kept("feed", "feed"), [1000 * n for n in day["feed"]["notice"]],
+                              day["feed"]["misses"], day["seed"]).start()
+            self.feed = Spoken("feed", lambda name, values: feed.release(**values))
+            self.feed_at = f"127.0.0.1:{feed.port}"
+        count = day["gateways"]["count"]
+        for group in in_processes(count, day["gateways"]["in_a_process"], len(day["fleet"]["floors"])):
+            await self.start_gateways(group)
+        clients = Clients(day, [self.doors[g] for g in range(count)], self.kept("client", "clients"), self.comes())
+        for door in clients.doors:
+            for one in door:
+                self.tasks.add(self.world.create_task(one.keep()))
+        while any(one.end is None for door in clients.doors for one in door):
+            await asyncio.sleep(0.02)
+        self.clients, self.over = Spoken("clients", None), clients.ends
+        self.begun = now() + 500
+        clients.go(self.begun)
+        self.record.add("begun", t=self.begun, a=day["warm"], b=day["length"])
+
+    def obey_list(self, roll, name, values):
+        if name == "deaf":
+            roll.deaf = values["on"]
+        else:
+            roll.set(m.Row(**values))
+
+    async def start_gateways(self, group):
+        decides = self.day["gateways"]["decides"]
+        for number in group:
+            door = self.doors.get(number) or self.take()
+            said = lease_values(self.day, number, door, self.list_at, self.folder, self.feed_at)
+            said.get("releases", {}).pop("control", None)
+            text = show(said)
+            figures = Figures(read(text, f"g{number}.lease", schema("lease.schema"), "#Lease"))
+            shell = self.shells[number] = Door(self.world, figures, MAKERS.get(decides, Gateway))
+            await shell.start()
+            self.doors[number], self.gateways[number] = door, (Spoken(f"g{number}", None), group)
+            self.record.add("gateway up", f"g{number}")
+
+    async def do_kill_gateway(self, gateway):
+        for one in self.gateways[gateway][1]:
+            if not self.shells[one].dead:
+                self.record.add("gateway killed", f"g{one}")
+                self.shells[one].kill()
+
+    async def do_start_gateway(self, gateway):
+        group = self.gateways[gateway][1]
+        if self.shells[gateway].dead:
+            await asyncio.sleep(0.8)        # as long as a process takes
+            if self.shells[gateway].dead:
+                await self.start_gateways(group)
+
+    async def do_stop_gateway(self, gateway):
+        for one in self.gateways[gateway][1]:
+            self.record.add("gateway stopped", f"g{one}")
+            self.shells[one].stand(True)
+
+    async def do_continue_gateway(self, gateway):
+        for one in self.gateways[gateway][1]:
+            self.shells[one].stand(False)
+            self.record.add("gateway continued", f"g{one}")
+
+    async def finish(self):
+        await asyncio.wait_for(self.over, 600.0)
+        await asyncio.sleep(0.3)
+        self.record.add("closing")
+        for shell in self.shells.values():
+            shell.drain("the gateway is leaving")
+        codes = await asyncio.gather(*(shell.done for shell in self.shells.values() if not shell.dead))
+        if any(codes):
+            raise CannotRun(f"gateways ended with {sorted(set(codes))}")
+
+
+def emulate(day, folder, tell=lambda text: None):
+    """Plays the day into the folder, its traffic then in folder/traffic; CannotRun where it cannot be played."""
+    world = World(day["seed"])
+    before = Clocks.steady, Clocks.wall
+    Clocks.steady, Clocks.wall = world.time, world.wall
+    asyncio.set_event_loop(world)
+    try:
+        async def play():
+            await Emulation(day, Path(folder), tell).play()
+        world.run_until_complete(play())
+    finally:
+        Clocks.steady, Clocks.wall = before
+        for task in (left := asyncio.all_tasks(world)):
+            task.cancel()
+        world.run_until_complete(asyncio.gather(*left, return_exceptions=True))
+        asyncio.set_event_loop(None)
--- a/cherrydoor/ends.py
+++ b/cherrydoor/ends.py
@@ -13,6 +13,16 @@
 HELLO_WAIT = 5.0                # s that a peer may take to say who it is
 
 
+class Some(dict):
+    """A set that is gone through in the order of arrival, so that no order of addresses shows."""
+
+    def add(self, one):
+        self[one] = None
+
+    def discard(self, one):
+        self.pop(one, None)
+
+
 class End(asyncio.BaseProtocol):
     """kinds: what is taken; hello: a callable that makes ours; the owner has greeted(end, hello), heard(end, message)
     and lost(end). `why` says why it ended, '' where the peer closed."""
--- a/cherrydoor/gateway/desk.py
+++ b/cherrydoor/gateway/desk.py
@@ -83,7 +83,7 @@
         self.gate, self.terms, self.dial, self.hear = gate, terms, dial, hear or (lambda asked: None)
         self.now, self.numbers, self.draining = now, 0, None
         self.inputs, self.notes, self.alarms = [], deque(), []
-        self.taken, self.hosts, self.clients, self.counts = {}, {}, set(), Counter()
+        self.taken, self.hosts, self.clients, self.counts = {}, {}, {}, Counter()
         self.carry = {io.Launch: self.launch, io.Recall: self.recall, io.Defer: self.defer,
                       io.DeadLetter: self.dead_letter, io.Ring: self.ring, io.Probe: self.probe,
                       io.Order: self.order, io.Subscribe: self.subscribe, io.Log: self.log}
@@ -131,7 +131,7 @@
     def came_in(self, client, hello):
         client.name = hello.name
         client.late(hello.clock, self.now)
-        self.clients.add(client)
+        self.clients[client] = True
         if self.draining is not None:
             client.wire.write(m.Leaving(self.draining))
 
@@ -174,7 +174,7 @@
             self.leave(taken)
 
     def went(self, client):
-        self.clients.discard(client)
+        self.clients.pop(client, None)
         for taken in list(client.open.values()):
             self.leave(taken)
 
--- a/cherrydoor/gateway/shell.py
+++ b/cherrydoor/gateway/shell.py
@@ -11,7 +11,7 @@
 from cherrydoor import interface as io
 from cherrydoor.admission import decide as d
 from cherrydoor.admission.listener import CHUNK, NO_DESCRIPTORS, Hall, Listener, Read, Uses
-from cherrydoor.ends import End
+from cherrydoor.ends import End, Some
 from cherrydoor.frames import codec
 from cherrydoor.frames import messages as m
 from cherrydoor.gateway.desk import Client, Desk
@@ -69,7 +69,7 @@
 
 class Door:
     def __init__(self, shell):
-        self.shell, self.ends = shell, set()
+        self.shell, self.ends = shell, Some()
 
     def greeted(self, end, hello):
         shell = self.shell
@@ -291,10 +291,10 @@
 class Shell:
     """One gateway: its sockets, its clock and the turn."""
 
-    def __init__(self, figures, gate, uses=None, places=None):
+    def __init__(self, figures, gate, uses=None, places=None, clock=None):
         """uses: what the process has in use, shared by its gateways; places: connections that there are descriptors
         for."""
-        self.figures, self.bounds, self.clock = figures, figures.bounds, Clock()
+        self.figures, self.bounds, self.clock = figures, figures.bounds, clock or Clock()
         self.loop, self.timer, self.timer_at, self.asked = asyncio.get_running_loop(), None, 0.0, False
         self.door, self.floor = Door(self), Floor(self)
         self.roll = Roll(self, figures.list_at, figures.saved, figures.lease.asks)
@@ -327,10 +327,14 @@
         self.roll.start()
         if self.releases:
             await self.releases.start()
-        self.port = Listener(self.hall, address(self.figures.door), lambda arrival: ClientEnd(self, arrival),
-                             (lambda: self.keeper.server) if self.keeper.sealed else None).port
+        self.port = self.listen(address(self.figures.door), lambda arrival: ClientEnd(self, arrival),
+                                (lambda: self.keeper.server) if self.keeper.sealed else None)
         self.set_timer()
 
+    def listen(self, where, make, context):
+        """Opens the door; its port."""
+        return Listener(self.hall, where, make, context).port
+
     # ---- the turn: all callbacks of one pass of the loop share it
     def post(self, what, *args):
         if self.desk.post(what, *args) and not self.asked:
--- a/cherrydoor/rehearsal/conduct.py
+++ b/cherrydoor/rehearsal/conduct.py
@@ -8,7 +8,6 @@
 import signal
 import socket
 import sys
-import time
 from functools import partial
 from pathlib import Path
 
@@ -16,7 +15,7 @@
 from cherrydoor.lease import show
 from cherrydoor.rehearsal.day import address_of, builds, client_keys, lease_values, terms
 from cherrydoor.rehearsal.troubles import Steps
-from cherrydoor.standin.record import Record, now
+from cherrydoor.standin.record import Record, now, wall
 
 
 class CannotRun(RuntimeError):
@@ -300,7 +299,7 @@
         build = self.builds[self.like[host]]
         [name] = await self.farm.tell("add", builds=[build], names=[self.ports.take()], cold=True)
         self.ids[host] = name
-        await self.row(host, name, "ready", time.time() * 1000, build)
+        await self.row(host, name, "ready", wall(), build)
 
     async def do_store(self, **values):
         await self.store.tell("set", **values)
--- a/cherrydoor/standin/host.py
+++ b/cherrydoor/standin/host.py
@@ -5,15 +5,14 @@
 """
 
 import asyncio
-import time
 from collections import deque
 from math import log
 from zlib import crc32
 
-from cherrydoor.ends import End
+from cherrydoor.ends import End, Some
 from cherrydoor.frames import messages as m
 from cherrydoor.standin.cores import Cores
-from cherrydoor.standin.record import now
+from cherrydoor.standin.record import now, wall
 
 
 class Build:
@@ -53,7 +52,7 @@
 
     def __init__(self, farm, name, build, seed):
         self.farm, self.id, self.build, self.seed, self.drawn = farm, name, build, seed, 0
-        self.record, self.loop, self.server, self.ends = farm.record, farm.loop, None, set()
+        self.record, self.loop, self.server, self.ends = farm.record, farm.loop, None, Some()
         self.up, self.draining, self.images = False, False, {}
         self.quiet = self.refuse = False
         self.slow, self.lose, self.pause, self.paused_until = 1.0, 0.0, None, 0.0
@@ -76,7 +75,7 @@
         """A process that has just started: empty, and cold where it is told to be."""
         self.up, self.draining, self.started = True, False, now() if cold else 0.0
         self.tallies = {}           # version -> events, errors, slow since the start
-        self.since = time.time() * 1000 if cold else 0.0
+        self.since = wall() if cold else 0.0
         self.cores, self.functions, self.jobs = Cores(self.build.cores, now()), {}, {}
         self.loads, self.load_queue, self.reports, self.work = set(), deque(), deque(), deque()
         self.fell = False
--- a/cherrydoor/standin/record.py
+++ b/cherrydoor/standin/record.py
@@ -20,9 +20,19 @@
 MOST = 50000                # rows that make one sooner
 
 
+class Clocks:
+    """What all of this process goes by; an emulation puts its own in their place."""
+    steady, wall = time.monotonic, time.time
+
+
 def now():
     """Ms on the machine's monotonic clock, the same for all processes of one machine."""
-    return time.monotonic() * 1000
+    return Clocks.steady() * 1000
+
+
+def wall():
+    """Ms since 1970."""
+    return Clocks.wall() * 1000
 
 
 class Record:
@@ -52,7 +62,9 @@
             self.flush()
 
     def flush(self):
-        rows, self.rows = self.rows, []
+        count = len(self.rows)      # the loop adds meanwhile, at the end
+        rows = self.rows[:count]
+        del self.rows[:count]
         if not rows:
             return
         name = f"{self.end}-{self.who}-{int(time.time() * 1000)}-{self.files:05d}.parquet".replace(":", "_")
--- a/cherrydoor/standin/roll.py
+++ b/cherrydoor/standin/roll.py
@@ -3,7 +3,7 @@
 import asyncio
 from zlib import crc32
 
-from cherrydoor.ends import End
+from cherrydoor.ends import End, Some
 from cherrydoor.frames import messages as m
 from cherrydoor.standin.record import now
 
@@ -17,7 +17,7 @@
     def __init__(self, record, notice=(50.0, 200.0), stale=0.0, seed=1):
         self.record, self.notice, self.stale, self.seed, self.drawn = record, notice, stale, seed, 0
         self.loop, self.rows, self.revision, self.past = asyncio.get_running_loop(), {}, 0, []
-        self.followers, self.ends, self.deaf = {}, set(), False
+        self.followers, self.ends, self.deaf = {}, Some(), False
 
     async def start(self, where="127.0.0.1", port=0):
         self.server = await self.loop.create_server(
