Two functions split at once; the others of a mass release are switched as they are loaded

Change: two functions are split over versions at a gateway; all others go to the last step when their load is there, in the order and at the pace that loads allow, eight at once at the most.

--- a/cherrydoor/versions/decide.py
+++ b/cherrydoor/versions/decide.py
@@ -31,10 +31,10 @@
 SURE, WITHIN = 0.05, 0.05           # complete: errors surely within this of the old ones, or patience has run out
 LOAD_WAIT, LOAD_FAILS = 10000.0, 3  # ms that a load ahead is waited for; loads that may fail in a row
 HALF = 60000.0                      # calls halve in this time
-FEWEST, MOST = 1.0, 32.0            # loads ahead under way at once
-TRIALS = 6                          # releases on trial here at once: each splits a function's calls over two versions,
-                                    # which makes copies of both colder and takes memory for both
-SELDOM = 4.0                        # calls a minute here below which a function is not split but goes to the last step
+FEWEST, MOST = 1.0, 8.0             # loads ahead under way at once
+TRIALS = 2                          # functions split over two versions here at once: copies of both are colder, and
+                                    # take memory for both. Others go to the last step once they are loaded
+SELDOM = 4.0                        # calls a minute here below which a function is not split either
 LATE_QUANTILE, LATE = 0.8, 1.3      # an event is slow if it takes so many times what this part of the old one's do
 
 
@@ -361,7 +361,7 @@
         """Most-called first, as many at once as loads go well; what is hardly called is not loaded ahead at all."""
         self.queue = [r for r in self.queue if r.state == ANNOUNCED]
         self.queue.sort(key=lambda r: (-self.calls.get(r.line.function, 0.0), r.line.function))
-        while self.queue and len(self.under_way) < int(self.pacer.room) and self.on_trial() < TRIALS:
+        while self.queue and len(self.under_way) < int(self.pacer.room):
             release = self.queue[0]
             if release.held:
                 self.queue.pop(0)
@@ -379,10 +379,9 @@
         self.queue = [r for r in self.queue if r.state == ANNOUNCED]
 
     def on_trial(self):
-        """Releases that split a function called here, or are about to."""
-        return len(self.under_way) + sum(
-            line.release is not None and line.release.state == TRIAL and line.release.splits
-            for line in self.lines.values())
+        """Releases that split a function called here."""
+        return sum(line.release is not None and line.release.state == TRIAL and line.release.splits
+                   for line in self.lines.values())
 
     def loaded(self, note):
         begun = self.under_way.pop(note.name, None)
@@ -403,9 +402,9 @@
         self.load_next()
 
     def begin(self, release):
+        release.splits = self.calls.get(release.line.function, 0.0) >= SELDOM and self.on_trial() < TRIALS
         release.state, release.step, release.since, release.begun = TRIAL, 0, self.now, self.now
         release.new, release.old = Seen(), Seen()
-        release.splits = self.calls.get(release.line.function, 0.0) >= SELDOM
         if not release.splits:
             release.step = len(SHARES) - 1
         self.say(release)
