What is not split is switched whole, and compared with all other versions in the same minutes

Change: unsplit releases get all events; their errors, slow answers and lost launches are weighed against those of all versions that are not on trial.

--- a/cherrydoor/versions/decide.py
+++ b/cherrydoor/versions/decide.py
@@ -176,6 +176,11 @@
         told, own = (self.errors, self.own_errors) if what == "errors" else (self.slow, self.own_slow)
         return told if told.all >= own.all else own
 
+    def halve(self):
+        for one in (self.own_errors, self.own_slow, self.lost):
+            one.bad, one.all = one.bad // 2, one.all // 2
+        self.parties = {}
+
     def kept(self):
         return {"errors": [self.of("errors").bad, self.of("errors").all], "slow": [self.of("slow").bad,
                 self.of("slow").all], "lost": [self.lost.bad, self.lost.all]}
@@ -199,7 +204,8 @@
         return name_of(self.line.function, self.version)
 
     def share(self):
-        return SHARES[self.step] if self.state == TRIAL else 1.0 if self.state == COMPLETE else 0.0
+        on_trial = SHARES[self.step] if self.splits else 1.0
+        return on_trial if self.state == TRIAL else 1.0 if self.state == COMPLETE else 0.0
 
     def verdict(self):
         """(what the new version is surely worse in, or "")."""
@@ -270,6 +276,8 @@
     def __init__(self, now):
         self.now, self.lines, self.calls, self.halved = now, {}, {}, now
         self.queue, self.under_way, self.pacer = [], {}, Pacer()
+        self.background = Seen()        # all versions that are not on trial, halved each minute: what a release that
+                                        # leaves nothing to its old version is compared with
         self.quantiles, self.inbox, self.actions, self.changed = {}, deque(), [], False
         self.hear = {Fed: self.fed, Ordered: self.ordered, Ended: self.ended, Loaded: self.loaded, Tick: self.tick}
 
@@ -406,7 +414,7 @@
         release.state, release.step, release.since, release.begun = TRIAL, 0, self.now, self.now
         release.new, release.old = Seen(), Seen()
         if not release.splits:
-            release.step = len(SHARES) - 1
+            release.step, release.old = len(SHARES) - 1, self.background
         self.say(release)
 
     # ---- evidence
@@ -421,10 +429,12 @@
             if one is None:
                 one = self.quantiles[function] = Quantile()
             one.add(note.took)
+        if not on_trial:
+            self.background.add(Ended(note.name, note.host, note.fate, note.took, note.cold, note.failed), usual)
         if release is None or release.state not in (LOADING, TRIAL):
             return
         if not on_trial:
-            if number == release.fallback:
+            if number == release.fallback and release.splits:
                 release.old.add(note, usual)
             return
         release.hosts[note.host] = True
@@ -482,13 +492,14 @@
     def say(self, release, why=""):
         self.changed = True
         self.actions.append(Said(release.line.function, release.version, release.state if release.state != TRIAL else
-                                 f"{TRIAL}, {SHARES[release.step]:.0%}", why))
+                                 f"{TRIAL}, {release.share():.0%}", why))
 
     # ---- time
     def tick(self, note):
         now = self.now
         if now - self.halved >= HALF:
             self.halved = now
+            self.background.halve()
             self.calls = {f: c / 2 for f, c in self.calls.items() if c >= 0.5}
             self.quantiles = {f: q for f, q in self.quantiles.items() if f in self.calls}
         for name, (at, release) in list(self.under_way.items()):
@@ -514,8 +525,10 @@
                 one["release"] = {"version": release.version, "step": release.step,
                                   "state": ANNOUNCED if release.state == LOADING else release.state,
                                   "spent": self.now - release.since, "carried": release.carried,
-                                  "held": release.held, "why": release.why, "fallback": release.fallback,
-                                  "new": release.new.kept(), "old": release.old.kept()}
+                                  "splits": release.splits, "held": release.held, "why": release.why,
+                                  "fallback": release.fallback,
+                                  "new": release.new.kept(),
+                                  "old": (release.old if release.splits else Seen()).kept()}
         return found
 
     def take_back(self, kept):
@@ -531,7 +544,11 @@
             release.why, release.fallback = said["why"], said["fallback"]
             release.since, release.carried = self.now - said["spent"], said["carried"]
             release.new.take_back(said["new"])
-            release.old.take_back(said["old"])
+            release.splits = said["splits"]
+            if release.splits:
+                release.old.take_back(said["old"])
+            else:
+                release.old = self.background
             if release.state == ANNOUNCED:
                 self.queue.append(release)
 
