--- a/cherrydoor/versions/decide.py
+++ b/cherrydoor/versions/decide.py
@@ -35,6 +35,8 @@
 TRIALS = 2                          # functions split over two versions here at once: copies of both are colder, and
                                     # take memory for both. Others go to the last step once they are loaded
 SELDOM = 4.0                        # calls a minute here below which a function is not split either
+ALIKE, TOGETHER, HELD_OFF = 3, 60000.0, 600000.0     # so many withdrawn within this time hold off all that have not
+                                                     # begun, for so long after the last
 LATE_QUANTILE, LATE = 0.8, 1.3      # an event is slow if it takes so many times what this part of the old one's do
 
 
@@ -276,6 +278,7 @@
     def __init__(self, now):
         self.now, self.lines, self.calls, self.halved = now, {}, {}, now
         self.queue, self.under_way, self.pacer = [], {}, Pacer()
+        self.bad = deque(maxlen=ALIKE)      # when releases were last found bad here
         self.background = Seen()        # all versions that are not on trial, halved each minute: what a release that
                                         # leaves nothing to its old version is compared with
         self.quantiles, self.inbox, self.actions, self.changed = {}, deque(), [], False
@@ -368,6 +371,8 @@
     def load_next(self):
         """Most-called first, as many at once as loads go well; what is hardly called is not loaded ahead at all."""
         self.queue = [r for r in self.queue if r.state == ANNOUNCED]
+        if self.held_off():
+            return
         self.queue.sort(key=lambda r: (-self.calls.get(r.line.function, 0.0), r.line.function))
         while self.queue and len(self.under_way) < int(self.pacer.room):
             release = self.queue[0]
@@ -386,6 +391,11 @@
                 self.begin(release)
         self.queue = [r for r in self.queue if r.state == ANNOUNCED]
 
+    def held_off(self):
+        """Several found bad together are likely bad by one cause, and so is what was released with them: what has not
+        begun waits with the old version. Harms releases that only happen to follow; an operator completes those."""
+        return len(self.bad) == ALIKE and self.bad[-1] - self.bad[0] <= TOGETHER and self.now - self.bad[-1] < HELD_OFF
+
     def on_trial(self):
         """Releases that split a function called here."""
         return sum(line.release is not None and line.release.state == TRIAL and line.release.splits
@@ -403,7 +413,7 @@
             else:
                 release.fails += 1
                 if release.fails >= LOAD_FAILS:
-                    self.withdraw(release, "it does not load")
+                    self.found_bad(release, "it does not load")
                 else:
                     release.state = ANNOUNCED
                     self.queue.append(release)
@@ -441,7 +451,7 @@
         if note.failed:
             release.fails += 1
             if release.fails >= LOAD_FAILS and release.state == TRIAL:
-                return self.withdraw(release, "it does not load")
+                return self.found_bad(release, "it does not load")
         elif note.fate == "handled":
             release.fails = 0
         release.new.add(note, usual)
@@ -450,7 +460,7 @@
             return
         release.looked = seen
         if worst := release.verdict():
-            self.withdraw(release, f"worse in {worst}")
+            self.found_bad(release, f"worse in {worst}")
         else:
             self.go_on(release)
 
@@ -471,6 +481,14 @@
         self.finish(release, COMPLETE, why)
         self.actions.append(Unload(old, tuple(release.hosts)))
 
+    def found_bad(self, release, why):
+        """Withdrawn by this gateway's own verdict."""
+        before = self.held_off()
+        self.bad.append(self.now)
+        self.withdraw(release, why)
+        if self.held_off() and not before:
+            self.actions.append(Said("", 0, "held off", f"{ALIKE} releases found bad together"))
+
     def withdraw(self, release, why):
         line = release.line
         if line.version == release.version:
--- a/tests/versions/test_decide.py
+++ b/tests/versions/test_decide.py
@@ -190,6 +190,33 @@
     assert gate.versions.pacer.room < room / 4, "loads that take long halve it"
 
 
+def test_a_mass_release_with_one_fault_is_held_off_after_a_few():
+    gate, events = Gate(), 0
+    names = [f"deed-{i:02d}" for i in range(40)]
+    for name in names:
+        for i in range(20):
+            gate.end(gate.call(name, f"w{i}"), took=50.0)
+    for name in names:
+        gate.announce(name)
+    while events < 20000 and not gate.versions.held_off():
+        gate.now, events = gate.now + 5, events + 1
+        for name in list(gate.versions.under_way) if events % 100 == 0 else ():
+            gate.take(d.Loaded(name, "handled", 300.0))
+        called = gate.call(names[events % 40], f"d{events}")
+        gate.end(called, "error" if "@" in called else "handled")
+        if events % 100 == 0:
+            gate.take(d.Tick())
+    begun = [name for name in names if gate.state(name) != d.ANNOUNCED]
+    assert gate.versions.held_off() and len(begun) < 40 and ("", 0, "held off") in [s[:3] for s in gate.said]
+    waiting = [name for name in names if gate.state(name) == d.ANNOUNCED]
+    gate.wait(60000, 5000.0)
+    assert all(gate.state(name) == d.ANNOUNCED and gate.call(name) == name for name in waiting)
+    gate.take(d.Ordered(waiting[0], "complete"))
+    assert gate.call(waiting[0]) == f"{waiting[0]}@1"
+    gate.wait(d.HELD_OFF, 10000.0)
+    assert not gate.versions.held_off() and gate.state(waiting[1]) != d.ANNOUNCED
+
+
 def test_a_load_that_is_never_answered_does_not_hold_the_release():
     gate = Gate()
     gate.end(gate.call())
