A choice among plain values is evaluated for the one that was said alone

Change: of options that are all plain values the one equal to what was said is taken without evaluating the others.

--- a/cherrydoor/lease/records.py
+++ b/cherrydoor/lease/records.py
@@ -17,7 +17,7 @@
 LARGEST = 128 * 1024        # characters of a file
 MARKS = 8000                # separators, colons, brackets and operators in it, which is what reading it takes
 DEEPEST = 40                # brackets within brackets
-STEPS = 12000                # evaluations for one file
+STEPS = 8000                 # evaluations for one file
 MOST = 25                   # problems told
 SCHEMA = 10**6              # lines of the schema are counted from here on, to tell them from the file's own
 
@@ -317,7 +317,7 @@
         """The terms with the one option that agrees with all else; of several the default."""
         kept: list = []
         deeper: list = []           # problems of options that fit here and fail only further down
-        for starred, tree in either.options:
+        for starred, tree in self.likely(plain, either.options):
             terms, before = list(plain), len(self.run.problems)
             self.gather(tree, either.env, terms, ())
             trial = Place(self.run, self.path, [], self.at)
@@ -350,6 +350,13 @@
         self.kind = "bad"
         return None
 
+    def likely(self, plain, options):
+        """Of options that are all plain values, the one that was said, if any: the others need no evaluation."""
+        atom = next((t for t in plain if isinstance(t, Atom)), None)
+        if atom is None or not all(tree.data == "atom" for _, tree in options):
+            return options
+        return [one for one in options if atom_of(one[1].children[0]).same(atom)] or options
+
     def said(self, either):
         words = []
         for _, tree in either.options:
