--- a/cherrydoor/versions/feed.py
+++ b/cherrydoor/versions/feed.py
@@ -13,7 +13,8 @@
 from cherrydoor.versions import decide as d
 
 log = structlog.get_logger()
-TICK, SAVE = 0.5, 1.0       # s
+TICK, AGAIN = 0.5, 10.0      # s between looks, and between asking the feed for all that it has: what was lost on the
+                             # way is heard of then. While half of the gateways call another version, hosts hold both
 
 
 class Broken(ValueError):
@@ -77,9 +78,14 @@
                          state=action.state, why=action.why)
 
     async def beat(self):
+        loop = asyncio.get_running_loop()
+        asked = loop.time()
         while True:
             await asyncio.sleep(TICK)
             self.post(d.Tick())
+            if self.end is not None and loop.time() - asked >= AGAIN:
+                asked = loop.time()
+                self.end.write(m.Follow())
             if self.versions.changed:
                 self.save()
 
