The story of a host connection without descriptors takes them away for real

Need: descriptors were divided so well that the story never met a lack of them, and could not fail by one.

Change: the running daemon's limit is set to its lowest free descriptor while a host connection is needed.

Result: the event is handled, a stranger is closed for it and told why, the known client keeps its place.

--- a/tests/admission/test_flood.py
+++ b/tests/admission/test_flood.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import resource
 import socket
 import sys
@@ -134,15 +135,17 @@
 @with_folder
 async def test_a_host_connection_is_had_when_descriptors_are_gone(stack, tmp):
     late = Host("handled")
-    wide = HARBOUR.replace("{known", "{burst: 4000, pace: 4000, known")
-    daemon = await few_descriptors(stack, await given(stack, tmp, late, more="bounds: {idle: 200ms}\n" + wide), 60)
-    flood = Flood(daemon.port)
+    daemon = await few_descriptors(stack, await given(stack, tmp, late, more="bounds: {}\n" + HARBOUR))
+    strangers = [await known(stack, daemon.port, f"127.{i}.0.1") for i in range(1, 9)]
     client = await known(stack, daemon.port)
-    await flood.beyond(400)
-    for i in range(5):
-        assert (await client.answer(client.send(f"deed {i}", lasts=4500.0))).fate == "handled"
-        await flood.beyond(100)
-    flood.stop()
+    held = {int(name) for name in os.listdir(f"/proc/{daemon.process.pid}/fd")}
+    gone = next(n for n in range(1000) if n not in held)        # no descriptor from here on, and none is free below
+    resource.prlimit(daemon.process.pid, resource.RLIMIT_NOFILE, (gone, gone))
+    assert (await client.answer(client.send("deed", lasts=4500.0))).fate == "handled"
+    assert late.all(m.Launch) and not client.lost_ends
+    daemon.process.send_signal(15)
+    code, errors = await daemon.end()
+    assert code == 0 and "descriptors have run out" in errors and any(one.lost_ends for one in strangers)
 
 
 @story
