What answers do not tell is None, and own calls stand in for the crowd

At fault: Function.told, which drew the work at once towards nought, so that gateways were never grouped, and copy 0 taken for a standing copy. Now None is passed; work at once comes from own calls, the time of one and the number of gateways, and answer times count where a copy was known to stand. A full answer is the queue's where a queue is reported, or no crowd is told and memory is not short.

--- a/cherrydoor/adapter/__main__.py
+++ b/cherrydoor/adapter/__main__.py
@@ -14,7 +14,7 @@
     def __init__(self, source):
         self.lines = iter(source)
         self.at = 0
-        self.gateways = {}
+        self.gateways, self.leases = {}, {}
 
     def next_line(self):
         text = next(self.lines, None)
@@ -46,13 +46,13 @@
         if name == "new_instance":
             seed, _, settings = rest.partition(" ")
             lease = wire.lease(int(seed), settings)
-            self.gateways[who] = None
+            self.gateways[who], self.leases[who] = None, lease
             self.decide(who, out, lambda: self.start(who, now, lease))
             return
         if who not in self.gateways:
             raise wire.BadLine(f"{name!r} for {who!r}, which has not started")
         if name == "detach":
-            del self.gateways[who]
+            del self.gateways[who], self.leases[who]
             return
         values = rest.split(" ")
         if name == "peers_known":
@@ -66,7 +66,7 @@
             least, reader = wire.READERS[name]
             if len(values) < least or "" in values:
                 raise wire.BadLine(f"{name!r} is too short")
-            note = reader(values)
+            note = reader(values, self.leases[who]) if reader is wire.done else reader(values)
         else:
             raise wire.BadLine(f"unknown message {name!r}")
         self.decide(who, out, lambda: self.gateways[who].take(now, note))
--- a/cherrydoor/adapter/wire.py
+++ b/cherrydoor/adapter/wire.py
@@ -72,7 +72,7 @@
         rules.get("coldFrom", 1.0), rules.get("cold", 0) / 1000, rules.get("overloadFactor", 0.0),
         rules.get("fall", 0) / 1000, copies.get("lingerIdle", 0) / 1000, bool(copies.get("loadControl")),
         copies.get("ifCold") == "miss", copies.get("loadsAnyway", 0.0), copies.get("loadPart", 0.0),
-        copies.get("loadsWithin", 0) / 1000)
+        copies.get("loadsWithin", 0) / 1000, bool(copies.get("saysWarm")), bool(copies.get("saysCompany")))
 
 
 def row(line):
@@ -88,27 +88,29 @@
     return io.Arrival(int(v[0]), v[1], v[2], v[3], ms(v[4]), number(v[7]), number(v[8]))
 
 
-def done(v):
+def done(v, lease):
+    """What this deployment's answers do not tell is None. A failed load is told everywhere."""
     info = 0 if v[6] == "-" else int(v[6])
+    copy = info % 8 if lease.tells_copy or info % 8 == 4 else None
     return io.Outcome(int(v[0]), int(v[2]), word(FATES, v[3]), flag(v[4]), v[5], ms(v[1]),
-                      info % 8, info // 8, held(v[7]))
+                      copy, info // 8 if lease.tells_crowd else None, *report(v[7]))
 
 
-def held(text):
-    """The events in hand out of a load report.
+def report(text):
+    """Events in hand, those that wait, and the share of memory that cannot be freed, out of a load report.
 
-    >>> held("util:0.5,inflight:3.5"), held("-")
-    (3.5, None)
+    >>> report("util:0.5,inflight:3.5,x0:0.25"), report("-")
+    ((3.5, None, 0.25), (None, None, None))
     """
     told = dict(pair.split(":", 1) for pair in text.split(",") if ":" in pair)
-    return float(told["inflight"]) if "inflight" in told else None
+    return tuple(float(told[name]) if name in told else None for name in ("inflight", "queue", "x0"))
 
 
 # What comes in for an instance: how many values its line has at least, and how they are read.
 READERS = {
     "knock": (10, knock),
-    "under_way": (4, lambda v: io.Underway(int(v[0]), int(v[1]), v[2])),
     "done": (8, done),
+    "under_way": (4, lambda v: io.Underway(int(v[0]), int(v[1]), v[2])),
     "cancelled_by_client": (1, lambda v: io.ClientLeft(int(v[0]))),
     "bell": (1, lambda v: io.Wake(v[0])),
     "probe_done": (4, lambda v: io.Probed(v[0], word(FATES, v[1]), ms(v[2]))),
--- a/cherrydoor/interface.py
+++ b/cherrydoor/interface.py
@@ -57,6 +57,8 @@
     loads_free: float = 0.0     # the ration of orders to load: so many ...
     loads_share: float = 0.0    # ... and this share of the events taken ...
     loads_within: float = 0.0   # ... within this time; 0 where there is no ration
+    tells_copy: bool = True     # answers tell whether a copy stood; else Outcome.copy is None
+    tells_crowd: bool = True    # answers tell of events of the same function; else Outcome.crowd is None
 
 
 # ---- in -------------------------------------------------------------------------------------
@@ -101,9 +103,11 @@
     over: bool                  # the event is closed
     host: str
     took: float
-    copy: int = 0               # 1 a copy stood, 2 it began a load, 3 it waited for one, 4 the load failed
-    crowd: int = 0              # events of the same function that the host held
-    held: float | None = None   # events that the host held in all, by its last report; None where not told
+    copy: int | None = None     # 1 a copy stood, 2 it began a load, 3 it waited for one, 4 the load failed
+    crowd: int | None = None    # events of the same function that the host held
+    held: float | None = None   # events that the host held in all, by its last report ...
+    queue: float | None = None  # ... those of them that waited, and ...
+    tied: float | None = None   # ... the share of its memory that cannot be freed; all None where not told
 
 
 class ClientLeft(NamedTuple):
--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -72,7 +72,7 @@
 
     def __init__(self, evt, host, now):
         self.evt, self.host, self.sent, self.fate = evt, host, now, None
-        self.stood = host.holds(evt.func, now)
+        self.stood = self.warm = host.holds(evt.func, now)
 
 
 class Event:
@@ -106,10 +106,11 @@
         """Hashed from function and gateway number, folded to as many groups as the work at once calls for."""
         return self.place(f"{self.name}/{self.me % self.groups}")
 
-    def told(self, host, crowd, now):
-        """The crowd times the hosts that share it is the work at once: a group for half a copy's lanes."""
+    def told(self, host, crowd, own, now):
+        """The crowd times the hosts that share it is the work at once: a group for half a copy's lanes.
+        Where no crowd is told, own calls stand in: by the time that one takes and the number of gateways."""
         self.copies[host] = now
-        self.work.mean(now, crowd * (1 + self.groups), 0.2, self.work.value)
+        self.work.mean(now, own if crowd is None else crowd * (1 + self.groups), 0.2, self.work.value)
         need = 2 * self.work.value / self.lanes
         while self.groups < need:
             self.groups *= 2
@@ -143,6 +144,10 @@
         sure = (func.count - 2 * func.count ** 0.5) / (2 * self.span) * self.gate.deed.gateways
         return func.count >= self.bar and max(func.work.value, sure * self.gate.brisk) >= BUSY
 
+    def own(self, func):
+        """The work at once of a function, were all gateways called as this one is."""
+        return func.count / (1.5 * self.span) * 2 * self.gate.brisk * self.gate.deed.gateways
+
     def called(self, func):
         func.count, self.calls = func.count + 1, self.calls + 1
 
@@ -154,7 +159,7 @@
         if fate == io.HANDLED and stood and note.copy == 2:
             func.copies = {}
         if fate == io.HANDLED or fate == io.FULL and stood:
-            func.told(host, note.crowd, now)
+            func.told(host, note.crowd, self.own(func), now)
         elif fate == io.FULL:
             func.refused[host], host.tight = now + self.gate.load, now
         elif fate in (io.MISSING, io.NO_CONNECTION, io.LOST):
@@ -242,10 +247,10 @@
     def back(self, launch, note, now):
         self.out.pop(launch, None)
         if note.fate in (io.HANDLED, io.FULL, io.ERROR, io.MISSING):
-            held = max(self.others.read(now), note.crowd) if note.held is None else note.held
+            held = max(self.others.read(now), note.crowd or 0) if note.held is None else note.held
             self.heard, self.others = now, Tally(now, max(0.0, held - len(self.out)))
         left = note.fate in (io.NO_ANSWER, io.RECALLED) and launch.stood and note.took > self.mean()
-        if left or note.fate == io.HANDLED and note.copy in (0, 1):     # what left unanswered tells, too
+        if left or note.fate == io.HANDLED and launch.warm:     # what left unanswered tells, too
             self.pace.mean(now, note.took, 0.1, self.gate.mean())
         if note.fate == io.HANDLED:
             self.strikes = 0
@@ -435,7 +440,10 @@
         if evt:
             launch = evt.tries[note.launch]
             launch.fate, again = note.fate, launch.host.full.read(self.now) > 0.25
-            launch.stood |= note.fate == io.FULL and (note.crowd > 0 or again)  # its queue, not memory
+            short = note.tied is not None and note.tied > 0.9
+            queue = again or bool(note.queue) or (not short if note.crowd is None else note.crowd > 0)
+            launch.stood |= note.fate == io.FULL and queue      # its queue is full, not its memory
+            launch.warm = launch.warm if note.copy is None else note.copy < 2   # told, else held to be
             launch.host.post("back", launch, note, self.now)
             self.history.post("tells", evt.func, launch.host, note, launch.stood)
             self.post("landed", evt, launch, note)
@@ -460,7 +468,7 @@
     def loaded(self, note):
         func, host = self.history.functions.get(note.function), self.hosts.get(note.host)
         if func and host:
-            self.history.post("tells", func, host, io.Outcome(0, 0, note.fate, True, host.id, 0.0), False)
+            self.history.post("tells", func, host, io.Outcome(0, 0, note.fate, True, host.id, 0.0, 0, 0), False)
 
     def route(self, evt):
         """Takes an event only if it is predicted in time."""
@@ -506,10 +514,11 @@
     def landed(self, evt, launch, note):
         if note.fate == io.HANDLED:
             self.handled.add(self.now, 1.0)
-            if note.copy in (0, 1):
+            if launch.warm:
                 self.pace.mean(self.now, min(note.took, 2 * self.mean()), 0.02, self.deed.target / 4)
                 self.brisk *= 1.006 if note.took > self.brisk else 0.986
-            self.load += 0.1 * (note.took - self.load) if note.copy == 2 else 0
+            cold = note.copy == 2 or note.copy is None and not launch.stood and note.took > 2 * self.mean()
+            self.load += 0.1 * (note.took - self.load) if cold else 0
         elif note.fate == io.FULL:
             evt.customer.strain.add(self.now, launch.stood)
         evt.over = evt.over or note.over
