What a cold host cannot bear is spread over all hosts, not given to its neighbour

Dropped: the budget, silence, overload of the customer. At fault: Zone.heir, which gave all that a cold host could not bear to the next in order, so that this one bore nearly two ranges. Now such a place is spread anew by its lower bits, alike at all gateways.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -23,6 +23,7 @@
 SURE = 0.75             # share of the target time that a predicted wait may fill, as predictions err
 FURTHER = 2             # further launches for one event
 MARGIN = 0.6            # of the multiple in rule 4, for chance
+SPREAD = 3              # how often a place that a cold host cannot bear is spread anew
 RECUT = 60000           # a vacancy of this length, or a host left over for a quarter of it, recuts the ranges
 LINGER = 6000           # an idle copy is believed to stand for so long, where nothing is said
 
@@ -306,8 +307,14 @@
             self.even = now
 
     def heir(self, pos, fits):
-        """The owner of this place in the id space, or the next ready one in order."""
+        """The owner of this place in the id space, or the next ready one in order. What a cold owner cannot
+        bear is spread over all others by the place's lower bits: its neighbour would bear two ranges."""
         now, (part, first) = self.gate.now, modf(pos * len(self.slots))
+        for _ in range(SPREAD if self.slots else 0):
+            if part <= self.slots[int(first)].level(now):
+                break
+            pos = modf(pos * 4096)[0]
+            part, first = modf(pos * len(self.slots))
         for bar in (part, 0.0, None):       # None: not ready, but at least not shut
             for i in range(len(self.slots)):
                 host = self.slots[(int(first) + i) % len(self.slots)]
