Silence is judged by host and event type, where later events were answered

Traced by gateway and host: any answer, also to the other type or a probe, reset Host.heard and strikes, so nothing was ever learned; and a launch with no copy known to stand was given three loads more than its client waits. Now each host has an ear for each event type: deaf for 4 s where a launch is long out, nothing of its type was answered since and events sent after it were, then longer, and the longer the more of the type is lost.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -19,6 +19,7 @@
 WINDOW = 2000           # counts halve each window
 ENOUGH = 64             # but only once they are of so many calls, or after eight windows
 OTHERS = 2              # others' events held to be at a host when own ones are compared to the usual
+DEAF = 4000             # time for which a host is first held to be deaf to an event type; it doubles
 SWEEP = 100             # how often hosts look at their own silence
 SURE = 0.75             # share of the target time that a predicted wait may fill, as predictions err
 FURTHER = 2             # further launches for one event
@@ -68,12 +69,21 @@
         return self.calls.read(now) > 2 * WINDOW * self.part
 
 
+class Ear:
+    """What a host lets hear of one event type; it goes with the host's process."""
+
+    def __init__(self):
+        self.heard, self.struck, self.strikes, self.shut = 0.0, 0.0, 0, 0.0
+
+
 class Try:
-    """One launch of an event: fate is None while it is out; stood tells if a copy was known to stand."""
+    """One launch of an event: fate is None while it is out; stood tells if a copy was known to stand, silent
+    that it is held to be lost at a host that answers other things."""
 
     def __init__(self, evt, host, now):
         self.evt, self.host, self.sent, self.fate = evt, host, now, None
         self.stood = self.warm = host.holds(evt.func, now)
+        self.silent = False
 
 
 class Event:
@@ -179,7 +189,9 @@
     def reset(self, since):
         """A process that starts anew has an empty memory and a clean slate."""
         self.since, self.heard, self.strikes, self.shut = since, 0.0, 0, 0.0
+        self.passed = 0.0           # when the latest of the answered events was sent
         self.probing = self.sheds = False
+        self.ears = {}              # event type -> Ear, no more than there are types
         self.pace, self.crowd = Tally(half=2 * WINDOW), 1.0     # mean answer time, usual own events out
         self.others, self.full, self.tight = Tally(), Tally(), -1e18   # as answers tell; when short of memory
         self.tried = self.gate.now - self.gate.chance() * self.gate.deed.gateways * self.gate.mean()
@@ -206,11 +218,17 @@
         self.credit, self.credited = min(earned, max(1.0, rate * deed.fall / 2)), now
         return self.credit >= 1.0
 
-    def ready(self, now, part=0.0):
+    def ready(self, now, part=0.0, clause=None):
         """What fails this hands the range on; a cold host takes it back by parts, alike at all gateways."""
         bad = self.shut > now or self.probing or self.strikes > 1 and self.out
         fit = self.state == io.READY and part <= self.level(now) and self.room(now)
-        return fit and (self.gate.blind or not bad)
+        return fit and (self.gate.blind or not bad) and not self.deaf(clause, now)
+
+    def deaf(self, clause, now):
+        """To one event type alone; once its time is over one event at a time tries it."""
+        ear = self.ears.get(clause and clause.name)
+        return ear is not None and (ear.shut > now or ear.strikes > 0 and any(
+            t.evt.clause is clause for t in self.out))
 
     def holds(self, func, now):
         seen = func.copies.get(self, self.since)
@@ -226,7 +244,8 @@
     def wait(self, func):
         """The time that an event sent now is predicted to take, by its own answers and its own events out."""
         now, full = self.gate.now, self.full.read(self.gate.now)
-        since = [t.sent if t.evt.func is func else max(t.sent, self.heard) for t in self.out if t.stood]
+        since = [t.sent if t.evt.func is func else max(t.sent, self.heard)
+                 for t in self.out if t.stood and not t.silent]
         pace = max(self.mean(), now - min(since, default=now), full * self.gate.deed.target)
         return pace * (len(self.out) + 1 + OTHERS) / (self.crowd + OTHERS)
 
@@ -250,7 +269,14 @@
         if note.fate in (io.HANDLED, io.FULL, io.ERROR, io.MISSING):
             held = max(self.others.read(now), note.crowd or 0) if note.held is None else note.held
             self.heard, self.others = now, Tally(now, max(0.0, held - len(self.out)))
+        ear = self.ears.setdefault(launch.evt.clause.name, Ear())
+        if note.fate == io.NO_ANSWER and self.unheard(launch, ear, now):
+            self.strike_ear(launch, ear, now)
+        elif note.fate in (io.HANDLED, io.ERROR):
+            self.passed = max(self.passed, launch.sent)
+            ear.heard, ear.strikes, ear.shut = now, ear.strikes // 2, 0.0
         left = note.fate in (io.NO_ANSWER, io.RECALLED) and launch.stood and note.took > self.mean()
+        left = left and not launch.silent
         if left or note.fate == io.HANDLED and launch.warm:     # what left unanswered tells, too
             self.pace.mean(now, note.took, 0.1, self.gate.mean())
         if note.fate == io.HANDLED:
@@ -269,8 +295,14 @@
             self.shut = now + 250 * 2 ** min(self.strikes, 4) * (1 + self.gate.chance())
 
     def sweep(self, now):
-        """Silence shows a host that stalls or is cut off: it is probed, else its events are taken back."""
+        """Silence shows a host that stalls or is cut off: it is probed, else its events are taken back. A probe,
+        or answers to other event types, show no more than that it runs: what stays silent beside them is."""
         patience = max(250.0, 4 * self.mean())
+        for launch, sent in self.out.items():
+            ear = self.ears.setdefault(launch.evt.clause.name, Ear())
+            if not launch.evt.streams and self.unheard(launch, ear, now):
+                self.strike_ear(launch, ear, now)
+                self.gate.post("take_back", launch)
         silent = any(now - max(sent, self.heard) > patience + (0 if launch.stood else 3 * self.gate.load)
                      for launch, sent in self.out.items() if not launch.evt.streams)
         ask = not self.probing and (silent or self.strikes > 1 and self.shut <= now)
@@ -280,6 +312,21 @@
         elif ask and silent:
             self.probed(io.NO_ANSWER, now)
 
+    def unheard(self, launch, ear, now):
+        """Out for long, nothing of its type was answered since, and events sent after it were."""
+        waits = max(250.0, 4 * self.mean()) * (1 if ear.strikes else 2)
+        waits += 0 if launch.stood else 1.5 * self.gate.load
+        return self.passed > launch.sent and now - max(launch.sent, ear.heard) > waits
+
+    def strike_ear(self, launch, ear, now):
+        launch.silent = True
+        if launch.sent > ear.struck:
+            ear.struck, ear.strikes = now, ear.strikes + 1
+            lost, all_ = self.gate.losses[launch.evt.clause.name]
+            lost.add(now, 1.0)
+            sure = (1 + 20 * lost.read(now) / (20 + all_.read(now))) * 4 ** (ear.strikes - 1)
+            ear.shut = now + DEAF * min(10, sure) * (0.75 + self.gate.chance() / 2)
+
     def probed(self, fate, now):
         self.probing = False
         if fate == io.HANDLED:
@@ -306,7 +353,7 @@
         if not new and all(h.state != io.GONE for h in self.slots):
             self.even = now
 
-    def heir(self, pos, fits):
+    def heir(self, pos, fits, clause=None):
         """The owner of this place in the id space, or the next ready one in order. What a cold owner cannot
         bear is spread over all others by the place's lower bits: its neighbour would bear two ranges."""
         now, (part, first) = self.gate.now, modf(pos * len(self.slots))
@@ -318,7 +365,7 @@
         for bar in (part, 0.0, None):       # None: not ready, but at least not shut
             for i in range(len(self.slots)):
                 host = self.slots[(int(first) + i) % len(self.slots)]
-                if (host.shut <= now if bar is None else host.ready(now, bar)) and fits(host):
+                if (host.shut <= now if bar is None else host.ready(now, bar, clause)) and fits(host):
                     return host
         return None
 
@@ -330,10 +377,10 @@
         def fits(host):
             return host not in been and func.refused.get(host, 0) <= now and gate.may(evt, host)
 
-        home = self.heir(func.home, fits)
+        home = self.heir(func.home, fits, evt.clause)
         if not home:
             return None, None
-        second = self.heir(func.second(), lambda h: h is not home and fits(h)) or home
+        second = self.heir(func.second(), lambda h: h is not home and fits(h), evt.clause) or home
         hot = gate.history.hot(func) and (second.roomy() or second.holds(func, now))
         pick = second if hot and (home.busy() or second.load() < home.load()) else home
         late = SURE * evt.clause.target     # past the pair, at T2 or late: the fewest where a copy stands
@@ -341,14 +388,15 @@
         def rank(host):
             return host.busy() or host.wait(func) > late, host.load(), host.wait(func), host.id
 
-        stand = [h for h in func.copies if h.holds(func, now) and h.ready(now) and fits(h)]
+        stand = [h for h in func.copies if h.holds(func, now) and h.ready(now, 0.0, evt.clause) and fits(h)]
         if stand and (pick.busy() or pick.wait(func) > late):
             pick = min([pick, *stand], key=rank)
         spare, opens = min(stand, key=rank, default=None), gate.deed.orders or pick in func.opening
         if spare and not spare.busy() and not pick.holds(func, now) and opens:
             return spare, pick      # nobody waits behind a load while a copy stands: one opens the new copy
         if pick.wait(func) > late and now > self.calm and not evt.customer.overloaded(now):
-            pick = self.heir(func.home, lambda h: h.wait(func) < late / 2 and h.roomy() and fits(h)) or pick
+            pick = self.heir(func.home, lambda h: h.wait(func) < late / 2 and h.roomy() and fits(h),
+                             evt.clause) or pick
             self.calm = now + gate.load
         return pick, None
 
@@ -378,11 +426,13 @@
         self.load, self.blind, self.actions = 1000.0, False, []
         self.events, self.hosts = {}, {}        # dropped when over; dropped when gone and nothing is out
         self.history, self.zone, self.others = History(self), Zone(self), Customer()
+        self.losses = {name: (Tally(half=4 * WINDOW), Tally(half=4 * WINDOW)) for name in self.deed.clauses}
         self.handled, self.ordered, self.taken = Tally(), deque(), deque()  # of rule 4; times of rule 5
 
     def start(self, now):
         self.now, self.next_window, self.actions = now, now + WINDOW, []
-        self.ring(SWEEP * (1 + self.chance()), "sweep")
+        self.due = now + SWEEP * (1 + self.chance())
+        self.ring(self.due - now, "sweep")
         self.actions.extend([io.Subscribe()] * self.deed.asks)
         return self.actions
 
@@ -514,6 +564,7 @@
         launch = Try(evt, host, self.now)
         evt.tries.append(launch)
         self.actions.append(io.Launch(evt.id, host.id, 0.0))
+        self.losses[evt.clause.name][1].add(self.now, 1.0)
         host.post("sent", launch, self.now)
         if not launch.stood:
             evt.func.opening.setdefault(host, self.now)
@@ -589,10 +640,11 @@
         return max(own, 1 / (self.deed.gateways * self.mean()))
 
     def sweep(self):
+        late, self.due = self.now - self.due, self.now + SWEEP
         self.ring(SWEEP, "sweep")
         self.forget(self.taken, 0.99 * self.deed.ration[2])
         running = [h for h in self.hosts.values() if h.state == io.READY]
-        for host in [h for h in running if h.out or h.strikes]:
+        for host in [h for h in running if (h.out or h.strikes) and late < 2 * SWEEP]:  # else it stood still itself
             host.post("sweep", self.now)
         # When most hosts look bad it is likelier this gateway's own sight: then none is held to be.
         self.blind = 2 * sum(h.probing or h.shut > self.now for h in running) > len(running)
