T2 also by the events that a host was told to hold

At fault: Host.busy. Now own events and those told count too, at the time that one event takes at a host: all answer times over all events met.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -260,7 +260,8 @@
     def busy(self):
         """T1 and T2, as shares of T2. A full answer counts as T2 and ages."""
         t2 = max(3.0, PATIENCE * self.gate.deed.target / self.gate.brisk)
-        out = len(self.out) / t2 + self.full.read(self.gate.now)
+        told = self.load() * self.gate.each / (PATIENCE * self.gate.deed.target)
+        out = max(len(self.out) / t2, told) + self.full.read(self.gate.now)
         self.sheds = out >= (0.6 if self.sheds else 1.0)
         return self.sheds
 
@@ -424,6 +425,7 @@
         self.deed, self.seed, self.drawn, self.now = Deed(lease), lease.seed, 0, 0.0
         self.pace, self.brisk = Tally(half=2 * WINDOW), self.deed.target / 10   # three in ten quicker
         self.load, self.blind, self.actions = 1000.0, False, []
+        self.waited, self.met, self.each = 0.0, 0.0, 0.0    # answer times over events met: one event's time at a host
         self.events, self.hosts = {}, {}        # dropped when over; dropped when gone and nothing is out
         self.history, self.zone, self.others = History(self), Zone(self), Customer()
         self.losses = {name: (Tally(half=4 * WINDOW), Tally(half=4 * WINDOW)) for name in self.deed.clauses}
@@ -572,6 +574,9 @@
     def landed(self, evt, launch, note):
         if note.fate == io.HANDLED:
             self.handled.add(self.now, 1.0)
+            if note.held is not None:
+                self.waited, self.met = 0.99 * self.waited + note.took, 0.99 * self.met + note.held + 1
+                self.each = self.waited / self.met
             if launch.warm:
                 self.pace.mean(self.now, min(note.took, 2 * self.mean()), 0.02, self.deed.target / 4)
                 self.brisk *= 1.006 if note.took > self.brisk else 0.986
