--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -247,7 +247,7 @@
         since = [t.sent if t.evt.func is func else max(t.sent, self.heard)
                  for t in self.out if t.stood and not t.silent]
         pace = max(self.mean(), now - min(since, default=now), full * self.gate.deed.target)
-        return pace * (len(self.out) + 1 + OTHERS) / (self.crowd + OTHERS)
+        return max(pace * (len(self.out) + 1 + OTHERS) / (self.crowd + OTHERS), self.gate.each * (self.load() + 1))
 
     def mean(self):
         return self.pace.read(self.gate.now, self.gate.mean())
