--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -260,7 +260,7 @@
     def busy(self):
         """T1 and T2, as shares of T2. A full answer counts as T2 and ages."""
         t2 = max(3.0, PATIENCE * self.gate.deed.target / self.gate.brisk)
-        told = self.load() * self.gate.each / (PATIENCE * self.gate.deed.target)
+        told = self.load() * self.gate.each / max(PATIENCE * self.gate.deed.target, 0.015 * self.gate.waited)
         out = max(len(self.out) / t2, told) + self.full.read(self.gate.now)
         self.sheds = out >= (0.6 if self.sheds else 1.0)
         return self.sheds
