What was told of others' events halves each two windows, and judges the wait for one

So what was told counts for the pair and T2 as it halves in 4 s, and for taking an event for 2 s only.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -247,7 +247,8 @@
         since = [t.sent if t.evt.func is func else max(t.sent, self.heard)
                  for t in self.out if t.stood and not t.silent]
         pace = max(self.mean(), now - min(since, default=now), full * self.gate.deed.target)
-        return max(pace * (len(self.out) + 1 + OTHERS) / (self.crowd + OTHERS), self.gate.each * (self.load() + 1))
+        own = pace * (len(self.out) + 1 + OTHERS) / (self.crowd + OTHERS)
+        return max(own, self.gate.each * (self.load() + 1) if now - self.others.at < WINDOW else 0.0)
 
     def mean(self):
         return self.pace.read(self.gate.now, self.gate.mean())
@@ -269,7 +270,7 @@
         self.out.pop(launch, None)
         if note.fate in (io.HANDLED, io.FULL, io.ERROR, io.MISSING):
             held = max(self.others.read(now), note.crowd or 0) if note.held is None else note.held
-            self.heard, self.others = now, Tally(now, max(0.0, held - len(self.out)))
+            self.heard, self.others = now, Tally(now, max(0.0, held - len(self.out)), 2 * WINDOW)
         ear = self.ears.setdefault(launch.evt.clause.name, Ear())
         if note.fate == io.NO_ANSWER and self.unheard(launch, ear, now):
             self.strike_ear(launch, ear, now)
