--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -176,7 +176,7 @@
 
 class Stuck:
     """A launch of some other function, as a host's inbox sees it."""
-    stood, sent = True, 0.0
+    stood, sent, silent, clause = True, 0.0, False, io.Clause("other", 500.0, 5000.0)
 
     def __init__(self, host):
         self.host, self.evt, self.sent = host, self, host.gate.now
