Cold hosts are given nine tenths of the multiple, over what running hosts bear

Dropped: silence (no host shut), queues. At fault: MARGIN, and Gateway.borne, which divided what was handled by all hosts, also the cold and the gone, so that a cold fleet's budget fell with it. Now by the running hosts, each at its level.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -23,7 +23,7 @@
 SWEEP = 100             # how often hosts look at their own silence
 SURE = 0.75             # share of the target time that a predicted wait may fill, as predictions err
 FURTHER = 2             # further launches for one event
-MARGIN = 0.6            # of the multiple in rule 4, for chance
+MARGIN = 0.9            # of the multiple in rule 4, for chance
 SPREAD = 3              # how often a place that a cold host cannot bear is spread anew
 RECUT = 60000           # a vacancy of this length, or a host left over for a quarter of it, recuts the ranges
 LINGER = 6000           # an idle copy is believed to stand for so long, where nothing is said
@@ -426,6 +426,7 @@
         self.deed, self.seed, self.drawn, self.now = Deed(lease), lease.seed, 0, 0.0
         self.pace, self.brisk = Tally(half=2 * WINDOW), self.deed.target / 10   # three in ten quicker
         self.load, self.blind, self.actions = 1000.0, False, []
+        self.warm = 0.0
         self.waited, self.met, self.each = 0.0, 0.0, 0.0    # answer times over events met: one event's time at a host
         self.events, self.hosts = {}, {}        # dropped when over; dropped when gone and nothing is out
         self.history, self.zone, self.others = History(self), Zone(self), Customer()
@@ -642,7 +643,7 @@
 
     def borne(self):
         """Events a ms that a warm host bears from this gateway: at least its part of one at a time."""
-        own = self.handled.read(self.now) / (1.44 * WINDOW * max(1, len(self.zone.slots)))
+        own = self.handled.read(self.now) / (1.44 * WINDOW * max(1.0, self.warm))
         return max(own, 1 / (self.deed.gateways * self.mean()))
 
     def sweep(self):
@@ -654,6 +655,7 @@
             host.post("sweep", self.now)
         # When most hosts look bad it is likelier this gateway's own sight: then none is held to be.
         self.blind = 2 * sum(h.probing or h.shut > self.now for h in running) > len(running)
+        self.warm = sum(h.level(self.now) for h in running)     # running hosts, cold ones in part
         if self.now >= self.next_window:
             self.next_window = self.now + WINDOW
             self.history.post("window", self.now)
