--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -24,6 +24,7 @@
 SURE = 0.75             # share of the target time that a predicted wait may fill, as predictions err
 FURTHER = 2             # further launches for one event
 MARGIN = 0.9            # of the multiple in rule 4, for chance
+LEAST = 1.5             # a cold host owns this many times what it can do at least, as few start at the least
 SPREAD = 3              # how often a place that a cold host cannot bear is spread anew
 RECUT = 60000           # a vacancy of this length, or a host left over for a quarter of it, recuts the ranges
 LINGER = 6000           # an idle copy is believed to stand for so long, where nothing is said
@@ -221,7 +222,7 @@
     def ready(self, now, part=0.0, clause=None):
         """What fails this hands the range on; a cold host takes it back by parts, alike at all gateways."""
         bad = self.shut > now or self.probing or self.strikes > 1 and self.out
-        fit = self.state == io.READY and part <= self.level(now) and self.room(now)
+        fit = self.state == io.READY and part <= LEAST * self.level(now) and self.room(now)
         return fit and (self.gate.blind or not bad) and not self.deaf(clause, now)
 
     def deaf(self, clause, now):
@@ -360,7 +361,7 @@
         bear is spread over all others by the place's lower bits: its neighbour would bear two ranges."""
         now, (part, first) = self.gate.now, modf(pos * len(self.slots))
         for _ in range(SPREAD if self.slots else 0):
-            if part <= self.slots[int(first)].level(now):
+            if part <= LEAST * self.slots[int(first)].level(now):
                 break
             pos = modf(pos * 4096)[0]
             part, first = modf(pos * len(self.slots))
