Leases state what answers do not tell, and refuse what mixes two shapes of deployment

Now tells.copy and tells.crowd in the lease, queue and tied in outcomes (optional: older peers still talk), stand-in hosts that leave out or tell each, and a trouble that leaves one event type unanswered. A group for a type that is not keyed, a ration or missing answers without orders, and gradual releases without copies told are refused with the key.

--- a/cherrydoor/adapter/wire.py
+++ b/cherrydoor/adapter/wire.py
@@ -107,7 +107,7 @@
 
 
 # What comes in for an instance: how many values its line has at least, and how they are read.
-READERS = {
+READERS: dict = {
     "knock": (10, knock),
     "done": (8, done),
     "under_way": (4, lambda v: io.Underway(int(v[0]), int(v[1]), v[2])),
--- a/cherrydoor/frames/messages.py
+++ b/cherrydoor/frames/messages.py
@@ -110,6 +110,8 @@
     held: Span | None = None    # events it held in all, by its last report
     body: bytes = b""
     tally: tuple[Count, Count, Count] | None = None     # events, errors, slow of this version since the host started
+    queue: Span | None = None   # those of them that waited, by the same report
+    tied: Annotated[float, Meta(ge=0.0, le=10.0)] | None = None     # share of memory that cannot be freed
 
 
 class Underway(Message, tag="underway"):
--- a/cherrydoor/gateway/desk.py
+++ b/cherrydoor/gateway/desk.py
@@ -394,16 +394,22 @@
             self.answer(taken, m.Answer(taken.event.id, "handled", 0.0, "", message.body))
         elif not taken.over and broken:
             self.answer(taken, m.Answer(taken.event.id, "dead-lettered", 0.0, "the stream broke"))
-        told = (message.copy, message.crowd, message.held) if message else (0, 0, None)
+        copy = message.copy if message else 0
+        told = self.told_by(message) if message else (None,) * 5
         if self.versions is not None and sent.link:
-            copy = told[0]
             self.ended(v.Ended(sent.called, name, fate, took, copy in (2, 3), copy == 4,
                                message.tally if message else None, taken.event.party))
             if sent.called != taken.function:       # what it says of copies is of another version than the module's
-                told = (0, 0, told[2])
+                told = (None, None, *told[2:])
         self.notes.append(io.Outcome(taken.number, sent.index, fate, taken.over, name, took, *told))
         self.forget(taken)
 
+    def told_by(self, outcome):
+        """What this deployment's answers do not tell is None; that a load failed is told everywhere."""
+        copy, crowd = self.terms.tells
+        return (outcome.copy if copy or outcome.copy == 4 else None, outcome.crowd if crowd else None,
+                outcome.held, outcome.queue, outcome.tied)
+
     def tidy(self):
         """Closes idle links and forgets hosts that are gone and unlinked."""
         self.alarm(self.now + self.terms.idle / 4, self.tidy)
--- a/cherrydoor/lease/figures.py
+++ b/cherrydoor/lease/figures.py
@@ -47,13 +47,14 @@
     spare: taken off each client's time, for the way back;  most_open: events held, more are deferred untaken;
     per_link: launches on one connection before another is opened;  links: connections to one host, then they share;
     connect: a connection not up by then failed;  idle: an unused one is closed;  probe, order: longest wait for these;
-    stay: advice with what is refused untaken.
+    stay: advice with what is refused untaken;  tells: whether hosts' answers tell of copies, and of the crowd.
     """
 
     def __init__(self, spare=50.0, most_open=20000, per_link=100, links=4, connect=250.0, idle=15000.0,
-                 probe=250.0, order=10000.0, stay=200.0):
+                 probe=250.0, order=10000.0, stay=200.0, tells=(True, True)):
         self.spare, self.most_open, self.per_link, self.links = spare, most_open, per_link, links
         self.connect, self.idle, self.probe, self.order, self.stay = connect, idle, probe, order, stay
+        self.tells = tells
 
 
 class Figures:
@@ -71,14 +72,15 @@
         self.bounds = Bounds(bounds)
         self.terms = Terms(bounds["spare"], bounds["open_events"], bounds["launches_on_a_link"],
                            bounds["links_to_a_host"], bounds["connect"], bounds["idle"], bounds["probe"],
-                           bounds["order"], bounds["stay"])
+                           bounds["order"], bounds["stay"], (said["tells"]["copy"], said["tells"]["crowd"]))
         self.lease = io.Lease(
             said["number"], said["gateways"], said["seed"], said["zone"], 1.0,
             tuple(io.Clause(**clause) for clause in said["clauses"]),
             tuple(io.Party(**party) for party in said["parties"]),
             said["asks"], may["launches"], may["twice"], may["recall"], may["probe"], may["advice"],
             cold["from"], cold["time"], cold["multiple"], cold["fall"], said["linger"], may["order"],
-            said["misses"], ration["free"], ration["share"], ration["within"])
+            said["misses"], ration["free"], ration["share"], ration["within"],
+            said["tells"]["copy"], said["tells"]["crowd"])
 
 
 def manners_of(said):
@@ -130,7 +132,20 @@
         check(clause["target"] <= clause["max_age"], f"clauses.{i}.target", "no more than max_age", clause["target"])
         keyed = clause["kind"] == "keyed"
         check(not keyed or clause["memory"] > 0, f"clauses.{i}.memory", "above 0 for a keyed event type", 0)
-    return found
+        check(keyed or clause["group"] == "all", f"clauses.{i}.group",
+              "'all' for an event type that is not keyed: no host drops its repeats", repr(clause["group"]))
+    return found + mixed(said, check)
+
+
+def mixed(said, check):
+    """Statements of two shapes of deployment that cannot both hold (docs/migration.md says why)."""
+    order, tells = said["may"]["order"], said["tells"]
+    check(order or not said["ration"]["within"], "ration.within", "0ms where may.order is false: no orders are given",
+          said["ration"]["within"])
+    check(order or not said["misses"], "misses", "false where may.order is false: nothing would ever be loaded", "true")
+    check(tells["copy"] or not said["releases"]["feed"], "tells.copy",
+          "true beside releases.feed: else a release's first loads count as its slowness", "false")
+    return []
 
 
 def lease_of(path):
--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -20,6 +20,7 @@
 ENOUGH = 64             # but only once they are of so many calls, or after eight windows
 OTHERS = 2              # others' events held to be at a host when own ones are compared to the usual
 DEAF = 4000             # time for which a host is first held to be deaf to an event type; it doubles
+FADED = 100             # answers after which what they told has faded by two thirds
 SWEEP = 100             # how often hosts look at their own silence
 SURE = 0.75             # share of the target time that a predicted wait may fill, as predictions err
 FURTHER = 2             # further launches for one event
@@ -262,7 +263,8 @@
     def busy(self):
         """T1 and T2, as shares of T2. A full answer counts as T2 and ages."""
         t2 = max(3.0, PATIENCE * self.gate.deed.target / self.gate.brisk)
-        told = self.load() * self.gate.each / max(PATIENCE * self.gate.deed.target, 0.015 * self.gate.waited)
+        usual = self.gate.waited / FADED        # the mean answer time, as faded sums have it
+        told = self.load() * self.gate.each / max(PATIENCE * self.gate.deed.target, 1.5 * usual)
         out = max(len(self.out) / t2, told) + self.full.read(self.gate.now)
         self.sheds = out >= (0.6 if self.sheds else 1.0)
         return self.sheds
@@ -298,10 +300,10 @@
             self.shut = now + 250 * 2 ** min(self.strikes, 4) * (1 + self.gate.chance())
 
     def sweep(self, now):
-        """Silence shows a host that stalls or is cut off: it is probed, else its events are taken back. A probe,
-        or answers to other event types, show no more than that it runs: what stays silent beside them is."""
+        """Silence shows a host that stalls or is cut off: it is probed, else its events are taken back.
+        Answers to other event types show no more than that it runs: each type has an ear of its own."""
         patience = max(250.0, 4 * self.mean())
-        for launch, sent in self.out.items():
+        for launch in self.out:
             ear = self.ears.setdefault(launch.evt.clause.name, Ear())
             if not launch.evt.streams and self.unheard(launch, ear, now):
                 self.strike_ear(launch, ear, now)
@@ -428,7 +430,7 @@
         self.pace, self.brisk = Tally(half=2 * WINDOW), self.deed.target / 10   # three in ten quicker
         self.load, self.blind, self.actions = 1000.0, False, []
         self.warm = 0.0
-        self.waited, self.met, self.each = 0.0, 0.0, 0.0    # answer times over events met: one event's time at a host
+        self.waited, self.met, self.each = 0.0, 0.0, 0.0    # answer times, events met: the time of one
         self.events, self.hosts = {}, {}        # dropped when over; dropped when gone and nothing is out
         self.history, self.zone, self.others = History(self), Zone(self), Customer()
         self.losses = {name: (Tally(half=4 * WINDOW), Tally(half=4 * WINDOW)) for name in self.deed.clauses}
@@ -530,7 +532,8 @@
     def loaded(self, note):
         func, host = self.history.functions.get(note.function), self.hosts.get(note.host)
         if func and host:
-            self.history.post("tells", func, host, io.Outcome(0, 0, note.fate, True, host.id, 0.0, 0, 0), False)
+            end = io.Outcome(0, 0, note.fate, True, host.id, 0.0, 0, 0)
+            self.history.post("tells", func, host, end, False)
 
     def route(self, evt):
         """Takes an event only if it is predicted in time."""
@@ -578,7 +581,8 @@
         if note.fate == io.HANDLED:
             self.handled.add(self.now, 1.0)
             if note.held is not None:
-                self.waited, self.met = 0.99 * self.waited + note.took, 0.99 * self.met + note.held + 1
+                fade = 1 - 1 / FADED
+                self.waited, self.met = fade * self.waited + note.took, fade * self.met + note.held + 1
                 self.each = self.waited / self.met
             if launch.warm:
                 self.pace.mean(self.now, min(note.took, 2 * self.mean()), 0.02, self.deed.target / 4)
@@ -652,7 +656,7 @@
         self.ring(SWEEP, "sweep")
         self.forget(self.taken, 0.99 * self.deed.ration[2])
         running = [h for h in self.hosts.values() if h.state == io.READY]
-        for host in [h for h in running if (h.out or h.strikes) and late < 2 * SWEEP]:  # else it stood still itself
+        for host in [h for h in running if (h.out or h.strikes) and late < 2 * SWEEP]:  # or it stood still
             host.post("sweep", self.now)
         # When most hosts look bad it is likelier this gateway's own sight: then none is held to be.
         self.blind = 2 * sum(h.probing or h.shut > self.now for h in running) > len(running)
--- a/cherrydoor/rehearsal/bench_day.py
+++ b/cherrydoor/rehearsal/bench_day.py
@@ -72,7 +72,8 @@
                     "stream": c["stream"], "body": 200} for c in classes],
         "offices": [{"name": t["name"], "share": t["traffic"], "per_second": t["quota"] * capacity * 1000 / work}
                     for t in tenants],
-        "fleet": {"hosts": count, "floors": zones, "kinds": [], "cells": 4, "misses": not fam["self_load"]},
+        "fleet": {"hosts": count, "floors": zones, "kinds": [], "cells": 4, "misses": not fam["self_load"],
+                  "tells_copy": bool(fam.get("tells_warm", True)), "tells_crowd": bool(fam.get("tells_crowd", True))},
         "builds": builds,
         "cold": {"from": tier["stated_cold_from"], "time": ms(tier["stated_cold"]), "multiple": said["fall_multiple"],
                  "fall": ms(said["fall_for"])},
--- a/cherrydoor/rehearsal/day.py
+++ b/cherrydoor/rehearsal/day.py
@@ -22,6 +22,9 @@
     found = [Problem(str(path), 1, 1, f"troubles.{i}.at", f"less than the day's {said['length'] / 1000:g} s",
                      f"{trouble['at'] / 1000:g} s")
              for i, trouble in enumerate(said["troubles"]) if trouble["at"] >= said["length"]]
+    names = ["", *(event["name"] for event in said["events"])]
+    found += [Problem(str(path), 1, 1, f"troubles.{i}.event", "one of the day's event types", trouble["event"])
+              for i, trouble in enumerate(said["troubles"]) if trouble["event"] not in names]
     found += [Problem(str(path), 1, 1, f"troubles.{i}.floor", f"one of {len(said['fleet']['floors'])} floors", "more")
               for i, trouble in enumerate(said["troubles"]) if trouble["floor"] >= len(said["fleet"]["floors"])]
     if found:
@@ -45,7 +48,8 @@
             cores=kind["cores"], speed=kind["speed"], memory=kind["memory"], queue=fleet["queue"],
             loads=fleet["loads"], keep=fleet["keep"], eager=fleet["eager"], disk=fleet["disk"],
             cold_from=cold["from"], cold=cold["time"], multiple=cold["multiple"], fall=cold["fall"],
-            report=fleet["report"], noise=fleet["noise"], tells_held=fleet["tells_held"],
+            report=fleet["report"], noise=fleet["noise"], **{
+                k: fleet[k] for k in ("tells_held", "tells_queue", "tells_tied", "tells_copy", "tells_crowd")},
             error_rate=fleet["error_rate"], load_fail=fleet["load_fail"], misses=fleet["misses"],
             remember=max((e["memory"] for e in day["events"]), default=0.0),
             zone=floors[i % len(floors)], cell=i // len(floors) // fleet["cells"]))
@@ -59,8 +63,9 @@
         "name": f"g{number}", "number": number, "gateways": day["gateways"]["count"],
         "seed": day["seed"] * 1000 + number, "zone": floors[number % len(floors)], "door": door, "list": listing,
         "asks": may["asks"], "saved": str(folder / f"g{number}.hosts"),
-        "clauses": [{k: e[k] for k in ("name", "kind", "group", "stream")} | {
-            k: ms(e[k]) for k in ("target", "max_age", "memory")} for e in day["events"]],
+        "clauses": [{k: e[k] for k in ("name", "kind", "stream")} | {
+            k: ms(e[k]) for k in ("target", "max_age", "memory")} | (
+            {"group": e["group"]} if e["kind"] == "keyed" else {}) for e in day["events"]],
         "parties": [{"name": o["name"], "per_second": o["per_second"]} for o in day["offices"] if o["per_second"]],
         "cold": {"from": day["cold"]["from"], "time": ms(day["cold"]["time"]), "multiple": day["cold"]["multiple"],
                  "fall": ms(day["cold"]["fall"])},
@@ -70,6 +75,7 @@
         "bounds": {"spare": ms(day["spare"])} | doors(day)[0], **doors(day)[1], **keys_of(day, number, folder),
         **({"releases": {"feed": feed, "saved": str(folder / f"g{number}.releases"),
                          "control": str(folder / f"g{number}.sock")}} if feed else {}),
+        "tells": {"copy": day["fleet"].get("tells_copy", True), "crowd": day["fleet"].get("tells_crowd", True)},
         "linger": ms(day["linger"]), "misses": day["fleet"]["misses"]}
 
 
--- a/cherrydoor/rehearsal/troubles.py
+++ b/cherrydoor/rehearsal/troubles.py
@@ -87,6 +87,12 @@
     def lost_answers(self, trouble, at, end):
         self.told(trouble, at, end, "lose", {"share": min(1.0, trouble["size"])}, {"share": 0.0})
 
+    def deaf(self, trouble, at, end):
+        """One event type is left unanswered, mostly; the others are served."""
+        names = [event["name"] for event in self.day["events"]]
+        name = trouble.get("event") or names[0]
+        self.told(trouble, at, end, "deaf", {"clause": name, "share": min(1.0, trouble["size"])}, {"clause": name})
+
     def silent(self, trouble, at, end):
         self.told(trouble, at, end, "silent", {"on": True}, {"on": False})
 
--- a/cherrydoor/standin/command.py
+++ b/cherrydoor/standin/command.py
@@ -82,6 +82,10 @@
             host.slow = times
             host.kick()
 
+    def deaf(self, hosts=None, clause="", share=0.0):
+        for host in self.each(hosts):
+            host.deaf = {clause: share} if share else {}
+
     def lose(self, hosts=None, share=0.0):
         for host in self.each(hosts):
             host.lose = share
--- a/cherrydoor/standin/host.py
+++ b/cherrydoor/standin/host.py
@@ -20,7 +20,8 @@
 
     def __init__(self, cores=2, speed=1.0, memory=6000.0, queue=24, loads=4, keep=10000.0, eager=True, disk=8000.0,
                  cold_from=1.0, cold=0.0, multiple=0.0, fall=0.0, report=300.0, late=0.0, noise=0.05,
-                 tells_held=False, error_rate=0.0, remember=5000.0, zone="", cell=0, misses=False, load_fail=0.0):
+                 tells_held=False, error_rate=0.0, remember=5000.0, zone="", cell=0, misses=False, load_fail=0.0,
+                 tells_copy=True, tells_crowd=True, tells_queue=False, tells_tied=False):
         self.__dict__.update({k: v for k, v in locals().items() if k != "self"})
 
 
@@ -56,6 +57,7 @@
         self.up, self.draining, self.images = False, False, {}
         self.quiet = self.refuse = False
         self.slow, self.lose, self.pause, self.paused_until = 1.0, 0.0, None, 0.0
+        self.deaf = {}              # event type -> share of its events that are left unanswered
         self.alarm = None
 
     def chance(self):
@@ -204,7 +206,8 @@
         bad = self.farm.bad.get(launch.function, {})
         fails = (self.chance() < self.build.error_rate or launch.function in self.farm.failing
                  or self.chance() < bad.get("fail", 0.0))
-        if self.lose and self.chance() < self.lose:
+        lose = max(self.lose, self.deaf.get(launch.clause, 0.0))
+        if lose and self.chance() < lose:
             self.record.add("answer lost", self.id, job.end.name, launch.id, launch.event, launch.number)
         else:
             self.answer(job, "error" if fails else "handled")
@@ -227,8 +230,19 @@
             told[1] += fate == "error"
             told[2] += bool(fate == "handled" and copy == 1 and launch.usual and now() - job.at > launch.usual)
             tally = tuple(told)
-        self.say(job.end, m.Outcome(launch.id, fate, copy if fate == "handled" or copy == 4 else 0, job.crowd, held,
-                                    body, tally))
+        b, tells = self.build, fate == "handled" and self.build.tells_copy or copy == 4
+        self.say(job.end, m.Outcome(launch.id, fate, copy if tells else 0, job.crowd if b.tells_crowd else 0, held,
+                                    body, tally, self.waiting() if b.tells_queue else None,
+                                    self.tied() if b.tells_tied else None))
+
+    def waiting(self):
+        return float(sum(len(copies.waiting) for copies in self.functions.values()))
+
+    def tied(self):
+        """The share of memory of copies at work or loading."""
+        used = sum((copies.standing - copies.idle() + copies.loading) * copies.facts.memory
+                   for copies in self.functions.values() if copies.facts)
+        return min(10.0, max(0.0, used / self.build.memory))
 
     def rise(self):
         """Up again by itself after a version took it down: the list is not told, its own hello is."""
--- a/tests/lease/test_records.py
+++ b/tests/lease/test_records.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from cherrydoor.lease import Problems, read, show
+from cherrydoor.lease.figures import lease_of
 
 SCHEMA = """
 #Clause: { name: string, target: duration & >0ms, kind: *"redeliverable" | "keyed" }
@@ -98,3 +99,28 @@
         read(text, "f")
     except Problems as error:
         assert error.problems
+
+
+def test_a_lease_that_mixes_two_shapes_is_refused_with_its_key(tmp_path):
+    good = 'name: "g", number: 0, gateways: 1, list: "127.0.0.1:1", cold: {}, bounds: {}\n'
+    clause = 'clauses: [{name: "a", target: 1s, max_age: 2s%s}]\n'
+    plain = clause % "" + "ration: {}\nmay: {}\n"
+    mixes = {
+        "clauses.0.group": clause % ', group: "cell"' + "ration: {}\nmay: {}\n",
+        "ration.within": clause % "" + "ration: {free: 4, within: 5s}\nmay: {}\n",
+        "misses": plain + "misses: true\n",
+        "tells.copy": plain + 'tells: {copy: false}\nreleases: {feed: "127.0.0.1:2"}\n',
+    }
+    path = tmp_path / "g.lease"
+    path.write_text(good + plain)
+    assert lease_of(path).terms.tells == (True, True)       # a file of the old shape stays as it was
+    path.write_text(good + plain + "tells: {copy: false, crowd: false}\n")
+    assert lease_of(path).lease.tells_copy is False and lease_of(path).terms.tells == (False, False)
+    for key, text in mixes.items():
+        path.write_text(good + text)
+        try:
+            lease_of(path)
+        except Problems as error:
+            assert [p.path for p in error.problems] == [key]
+        else:
+            raise AssertionError(key)
--- a/tests/rehearsal/test_days.py
+++ b/tests/rehearsal/test_days.py
@@ -57,6 +57,40 @@
     assert again.returncode == 0 and json.loads(again.stdout) == found
 
 
+def test_a_little_day_of_the_other_shape_keeps_every_rule(tmp_path):
+    """Answers tell neither copies nor crowds, a rack drops repeats of a keyed type, and hosts leave it unanswered."""
+    day = tmp_path / "other.day"
+    day.write_text("""
+name: "other"
+length: 5s
+warm: 1s
+spare: 400ms
+events: [
+  {name: "look", target: 800ms, max_age: 2s}
+  {name: "book", target: 1.2s, max_age: 2s, kind: "keyed", group: "cell", memory: 6s}
+]
+fleet: {hosts: 6, cells: 1, disk: 0, tells_copy: false, tells_crowd: false, tells_held: true, tells_queue: true,
+        tells_tied: true}
+cold: {from: 17%, time: 3s, multiple: 2, fall: 3s}
+functions: {count: 10, load: [60, 120], work: [5, 15], lanes: [1], core: 0}
+clients: {per_second: 60}
+gateways: {count: 3, in_a_process: 2}
+store: {}
+list: {notice: [0.05, 0.2]}
+may: {launches: 3, order: false}
+ration: {}
+troubles: [
+  {at: 1s, what: "deaf", event: "book", lasts: 3s, part: 50%, size: 0.9}
+  {at: 2s, what: "rack-restart", lasts: 500ms, part: 30%}
+  {at: 2500ms, what: "gateway-crash", lasts: 500ms, part: 20%}
+]
+""")
+    done = cherrydoor("rehearse", str(day), "--out", str(tmp_path / "out"), "--json", "--quiet")
+    assert done.returncode == 0, done.stderr + done.stdout[-2000:]
+    found = json.loads(done.stdout)
+    assert found["broken"] == [] and found["answers"]["handled"] > 50 and found["answers"]["dead-lettered"] > 0
+
+
 def test_a_little_crash_at_the_gate_keeps_every_rule_and_every_known_client(tmp_path):
     day = tmp_path / "gate.day"
     first = LITTLE.index("troubles:")
@@ -144,7 +178,7 @@
     steps = Steps(said)
     does = {what for _, what, _ in steps.found}
     handled = {name[3:].replace("_", " ") for name in dir(Conductor) if name.startswith("do_")}
-    assert does <= handled and len(names) == 29
+    assert does <= handled and len(names) == 30
     assert {t["what"] for t in said["troubles"]} - {n.replace("_", "-") for n in dir(Steps)} == {
         "burst", "hot", "scan", "repeats"}, "these four are in the traffic itself"
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -287,3 +287,69 @@
     fleet.answer(event, io.FULL)
     assert fleet.event("deed")[0] not in fleet.sent
     assert fleet.event("deed", later=2000.0)[0] in fleet.sent
+
+
+def untold(fleet, host, function, took=50.0, held=None, fate=io.HANDLED, later=10.0):
+    """An event whose answer tells neither copy nor crowd."""
+    event, _ = fleet.event(function, later=later)
+    fleet.take(io.Outcome(event, 0, fate, fate == io.HANDLED, fleet.sent[event][0], took, None, None, held), later)
+    return fleet.sent[event][0]
+
+
+def test_where_no_crowd_is_told_own_calls_group_the_gateways():
+    places = set()
+    for me in range(12):
+        fleet = Fleet("abcdefgh", me=me, gateways=12)
+        for _ in range(80):
+            untold(fleet, None, "deed", took=300.0, later=20.0)
+        places.add(fleet.gate.history.functions["deed"].second())
+    assert len(places) > 4
+
+
+def test_where_no_copy_is_told_a_load_does_not_pass_for_a_slow_host():
+    fleet = Fleet()
+    home = fleet.gate.hosts[untold(fleet, None, "deed", took=2000.0)]
+    assert home.mean() < 200
+    untold(fleet, None, "deed", took=400.0)
+    assert home.mean() > 125
+
+
+def test_what_a_host_was_told_to_hold_makes_it_shed():
+    fleet = Fleet(gateways=40)
+    for _ in range(30):
+        home = untold(fleet, None, "deed", took=60.0, held=0.0)
+    host = fleet.gate.hosts[home]
+    assert not host.busy()
+    untold(fleet, None, "deed", took=60.0, held=20.0)
+    assert host.busy() and host.wait(fleet.gate.history.functions["deed"]) > 375
+    fleet.now += 20000
+    fleet.list()
+    assert not host.busy()
+
+
+def test_a_host_deaf_to_one_event_type_goes_on_serving_the_other():
+    book = io.Clause("book", 500.0, 5000.0, io.KEYED, "cell", 6000.0)
+    fleet = Fleet(clauses=(io.Clause("redraft", 500.0, 5000.0), book))
+    home = fleet.handle("deed")
+    fleet.events += 1
+    lost = fleet.events
+    fleet.take(io.Arrival(lost, "book", "", "deed", fleet.now + 5000.0, 4.0, 0.0))
+    assert fleet.sent[lost] == [home]
+    for _ in range(25):
+        fleet.handle("deed", later=50.0)
+        fleet.take(io.Wake("sweep"))
+    fleet.events += 1
+    fleet.take(io.Arrival(fleet.events, "book", "", "deed", fleet.now + 5000.0, 4.0, 0.0))
+    assert fleet.sent[fleet.events] != [home]
+    deaf = [fleet.gate.hosts[home].deaf(clause, fleet.now) for clause in fleet.gate.deed.clauses.values()]
+    assert deaf == [False, True]
+
+
+def test_what_a_cold_host_cannot_bear_is_spread_over_all_others():
+    fleet = Fleet("abcdefgh")
+    at = {f"f{i}": fleet.handle(f"f{i}") for i in range(200)}
+    cold = at["f0"]
+    fleet.list(**{cold: {"since": fleet.now}})
+    fleet.rest(1000)
+    heirs = {fleet.handle(f) for f, host in at.items() if host == cold}
+    assert len(heirs - {cold}) > 3
