--- a/cherrydoor/lease/figures.py
+++ b/cherrydoor/lease/figures.py
@@ -134,18 +134,18 @@
         check(not keyed or clause["memory"] > 0, f"clauses.{i}.memory", "above 0 for a keyed event type", 0)
         check(keyed or clause["group"] == "all", f"clauses.{i}.group",
               "'all' for an event type that is not keyed: no host drops its repeats", repr(clause["group"]))
-    return found + mixed(said, check)
+    mixed(said, check)
+    return found
 
 
 def mixed(said, check):
     """Statements of two shapes of deployment that cannot both hold (docs/migration.md says why)."""
     order, tells = said["may"]["order"], said["tells"]
     check(order or not said["ration"]["within"], "ration.within", "0ms where may.order is false: no orders are given",
-          said["ration"]["within"])
+          f"{said['ration']['within']:g}ms")
     check(order or not said["misses"], "misses", "false where may.order is false: nothing would ever be loaded", "true")
     check(tells["copy"] or not said["releases"]["feed"], "tells.copy",
           "true beside releases.feed: else a release's first loads count as its slowness", "false")
-    return []
 
 
 def lease_of(path):
