--- a/tests/gateway/test_hard_cases.py
+++ b/tests/gateway/test_hard_cases.py
@@ -375,3 +375,20 @@
     await client.until(lambda: client.lost_ends)
     again = await stack.client()
     assert (await again.answer(again.send())).fate == "handled"
+
+
+@story
+async def test_what_the_lease_says_is_not_told_reaches_the_module_as_none(stack):
+    host = Host()
+    client = await stack.start(host, tells="tells: {copy: false, crowd: false}")
+    heard, gate = [], stack.shell.desk.gate
+    take = gate.take
+    gate.take = lambda now, note: heard.append(note) or take(now, note)
+    number = client.send()
+    [launch] = await host.got(m.Launch)
+    end = next(e for e, message in host.heard_all if message is launch)
+    end.write(m.Outcome(launch.id, "handled", 1, 3, 2.0, queue=1.0, tied=0.5))
+    assert (await client.answer(number)).fate == "handled"
+    [outcome] = [note for note in heard if type(note).__name__ == "Outcome"]
+    assert (outcome.copy, outcome.crowd) == (None, None)
+    assert (outcome.held, outcome.queue, outcome.tied) == (2.0, 1.0, 0.5)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -3,7 +3,10 @@
 import io
 import json
 
+from fake import LEASE
+
 from cherrydoor.adapter.__main__ import main
+from cherrydoor.adapter.wire import done
 
 SAID = {"me": 0, "instances": 1, "unheard": {"of": 1}, "zone": "z", "permissions": {"maxAttempts": 2},
         "requestClasses": [{"name": "c", "aim": 500000, "deadline": 900000, "repeat": "repeatable"}]}
@@ -43,3 +46,12 @@
 def test_failed_decision_is_told_on_the_wire():
     code, out, _ = talk(OPEN + "batch 1001\n" + KNOCK.replace(" c ", " nope ") + "your_turn\n")
     assert code == 0 and any(line.startswith("crash gateway_0 KeyError") for line in out)
+
+
+def test_what_a_deployment_does_not_tell_is_none_and_a_failed_load_is_told_everywhere():
+    words = ["77", "40000", "0", "served", "1", "10.0.0.1:8080", "-", "inflight:3,queue:1,x0:0.5,odd:2"]
+    mute = LEASE._replace(tells_copy=False, tells_crowd=False)
+    told, untold = done(words, LEASE), done(words, mute)
+    assert (told.copy, told.crowd) == (0, 0) and (untold.copy, untold.crowd) == (None, None)
+    assert (untold.held, untold.queue, untold.tied) == (3.0, 1.0, 0.5)
+    assert done(words[:6] + ["4", "-"], mute).copy == 4
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -331,6 +331,7 @@
     book = io.Clause("book", 500.0, 5000.0, io.KEYED, "cell", 6000.0)
     fleet = Fleet(clauses=(io.Clause("redraft", 500.0, 5000.0), book))
     home = fleet.handle("deed")
+    rare = next(f for f in (f"f{i}" for i in range(50)) if fleet.handle(f) == home)
     fleet.events += 1
     lost = fleet.events
     fleet.take(io.Arrival(lost, "book", "", "deed", fleet.now + 5000.0, 4.0, 0.0))
@@ -338,9 +339,11 @@
     for _ in range(25):
         fleet.handle("deed", later=50.0)
         fleet.take(io.Wake("sweep"))
+    fleet.answer(lost, io.NO_ANSWER, over=True)
+    fleet.take(io.Probed(home, io.HANDLED, 1.0))
     fleet.events += 1
-    fleet.take(io.Arrival(fleet.events, "book", "", "deed", fleet.now + 5000.0, 4.0, 0.0))
-    assert fleet.sent[fleet.events] != [home]
+    fleet.take(io.Arrival(fleet.events, "book", "", rare, fleet.now + 5000.0, 4.0, 0.0))
+    assert fleet.sent[fleet.events] != [home] and fleet.handle(rare) == home
     deaf = [fleet.gate.hosts[home].deaf(clause, fleet.now) for clause in fleet.gate.deed.clauses.values()]
     assert deaf == [False, True]
 
@@ -353,3 +356,34 @@
     fleet.rest(1000)
     heirs = {fleet.handle(f) for f, host in at.items() if host == cold}
     assert len(heirs - {cold}) > 3
+
+
+def test_a_full_answer_is_the_queues_where_a_queue_is_reported_and_memorys_where_it_is_tied():
+    for crowd, queue, tied, memory in ((0, 9.0, None, False), (0, None, None, True), (None, None, 0.3, False),
+                                       (None, None, 0.97, True)):
+        fleet = Fleet()
+        event, _ = fleet.event("deed")
+        home = fleet.gate.hosts[fleet.sent[event][0]]
+        fleet.take(io.Outcome(event, 0, io.FULL, False, home.id, 1.0, None, crowd, 10.0, queue, tied))
+        assert (not home.roomy()) == memory, (crowd, queue, tied)
+
+
+def test_a_cold_fleet_bears_what_its_running_hosts_do_and_not_the_mean_of_all():
+    def budget(**cold):
+        fleet = Fleet("abcdefgh", gateways=200)     # so that the floor, a part of one event, is below
+        for i in range(200):
+            fleet.handle(f"f{i % 20}", later=5.0)
+        fleet.list(**{host: {"since": fleet.now} for host in cold})
+        fleet.take(io.Wake("sweep"))
+        return fleet.gate.borne()
+
+    assert budget(a=1, b=1, c=1, d=1) > 1.3 * budget()
+
+
+def test_a_gateway_that_stood_still_does_not_take_it_for_the_hosts_silence():
+    fleet = Fleet()
+    fleet.handle("deed")
+    fleet.take(io.Wake("sweep"), 100.0)
+    fleet.event("deed")
+    assert io.Probe not in kinds(fleet.take(io.Wake("sweep"), 2000.0))
+    assert io.Probe in kinds(fleet.rest(300.0)), "silence that goes on is the host's"
