--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -19,7 +19,7 @@
 WINDOW = 2000           # counts halve each window
 ENOUGH = 64             # but only once they are of so many calls, or after eight windows
 OTHERS = 2              # others' events held to be at a host when own ones are compared to the usual
-DEAF = 4000             # time for which a host is first held to be deaf to an event type; it doubles
+DEAF = 4000             # time for which a host is first held to be deaf to an event type
 FADED = 100             # answers after which what they told has faded by two thirds
 SWEEP = 100             # how often hosts look at their own silence
 SURE = 0.75             # share of the target time that a predicted wait may fill, as predictions err
@@ -72,7 +72,8 @@
 
 
 class Ear:
-    """What a host lets hear of one event type; it goes with the host's process."""
+    """What a host lets hear of one event type; it goes with the host's process. Guards against hosts that
+    leave one unanswered, also answers lost at random; harms when a slow event is overtaken at a well host."""
 
     def __init__(self):
         self.heard, self.struck, self.strikes, self.shut = 0.0, 0.0, 0, 0.0
@@ -172,7 +173,8 @@
         if fate == io.HANDLED and stood and note.copy == 2:
             func.copies = {}
         if fate == io.HANDLED or fate == io.FULL and stood:
-            func.told(host, note.crowd, self.own(func), now)
+            own = func.work.value if stood is None else self.own(func)      # an order tells of no calls
+            func.told(host, note.crowd, own, now)
         elif fate == io.FULL:
             func.refused[host], host.tight = now + self.gate.load, now
         elif fate in (io.MISSING, io.NO_CONNECTION, io.LOST):
@@ -429,7 +431,7 @@
         self.deed, self.seed, self.drawn, self.now = Deed(lease), lease.seed, 0, 0.0
         self.pace, self.brisk = Tally(half=2 * WINDOW), self.deed.target / 10   # three in ten quicker
         self.load, self.blind, self.actions = 1000.0, False, []
-        self.warm = 0.0
+        self.warm = 0.0                         # running hosts, a cold one at its level
         self.waited, self.met, self.each = 0.0, 0.0, 0.0    # answer times, events met: the time of one
         self.events, self.hosts = {}, {}        # dropped when over; dropped when gone and nothing is out
         self.history, self.zone, self.others = History(self), Zone(self), Customer()
@@ -532,8 +534,7 @@
     def loaded(self, note):
         func, host = self.history.functions.get(note.function), self.hosts.get(note.host)
         if func and host:
-            end = io.Outcome(0, 0, note.fate, True, host.id, 0.0, 0, 0)
-            self.history.post("tells", func, host, end, False)
+            self.history.post("tells", func, host, io.Outcome(0, 0, note.fate, True, host.id, 0.0), None)
 
     def route(self, evt):
         """Takes an event only if it is predicted in time."""
@@ -660,7 +661,7 @@
             host.post("sweep", self.now)
         # When most hosts look bad it is likelier this gateway's own sight: then none is held to be.
         self.blind = 2 * sum(h.probing or h.shut > self.now for h in running) > len(running)
-        self.warm = sum(h.level(self.now) for h in running)     # running hosts, cold ones in part
+        self.warm = sum(h.level(self.now) for h in running)
         if self.now >= self.next_window:
             self.next_window = self.now + WINDOW
             self.history.post("window", self.now)
