--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,13 @@
 PY := .venv/bin/python
 READY := .venv/ready
 
-.PHONY: rehearse test lint ci bench bench-doors bench-releases clean
+.PHONY: service rehearse test lint ci bench bench-doors bench-releases clean
+# what the platform's gateway needs, and its byte code, as the file system is read-only in service
+service:
+	test -x $(PY) || python3 -m venv .venv
+	$(PY) -m pip install -q --disable-pip-version-check -r requirements-service.txt
+	$(PY) -m compileall -q cherrydoor
+
 rehearse: $(READY)
 	$(PY) -m cherrydoor rehearse quick
 
@@ -16,7 +22,7 @@
 
 ci: lint test
 
-$(READY): requirements.txt requirements-dev.txt pyproject.toml
+$(READY): requirements-service.txt requirements-tools.txt requirements-dev.txt pyproject.toml
 	test -x $(PY) || python3 -m venv .venv
 	$(PY) -m pip install -q --disable-pip-version-check -r requirements-dev.txt
 	$(PY) -m pip install -q --disable-pip-version-check --no-deps -e .
--- a/cherrydoor/adapter/wire.py
+++ b/cherrydoor/adapter/wire.py
@@ -54,8 +54,12 @@
 
 
 def lease(seed, text):
-    """The settings of one instance, with what is absent taken as not allowed or not stated."""
-    said = json.loads(text)
+    """The settings of one instance as they stand on its line."""
+    return lease_of(seed, json.loads(text))
+
+
+def lease_of(seed, said):
+    """The settings, with what is absent taken as not allowed or not stated."""
     may, rules = said.get("permissions", {}), said.get("rules", {})
     copies = said.get("familyInfo", {})
     clauses = tuple(
--- a/cherrydoor/admission/decide.py
+++ b/cherrydoor/admission/decide.py
@@ -232,6 +232,8 @@
     strangers_bytes: int = 256 << 20
     office_bytes: int = 64 << 20
     seed: int = 1
+    parts: tuple = PARTS        # all whole where everybody comes by one front
+    porch: int = 0              # its places; 0 for an eighth of `places`
 
 
 def divide(limit, used, gateways, hosts_most):
@@ -252,6 +254,22 @@
     return hosts, max(1, (free - spare - hosts) // max(1, gateways) * 8 // 9), spare
 
 
+def seats(limit, reserve, hosts):
+    """Descriptors of a gateway whose clients come by a front: (places, porch, connections to one host).
+
+    The front's connections take up to a third of the limit; they all have a place, and beside them stands a porch of
+    half as many for those that say nothing yet. Hosts share what is left but for an eighth that stays free.
+
+    >>> seats(256, 12, 12)
+    (89, 44, 6)
+    >>> seats(1024, 12, 11)
+    (358, 179, 12)
+    """
+    places = limit * 7 // 20
+    porch = places // 2
+    return places, porch, max(1, min(12, (limit * 7 // 8 - reserve - places - porch) // max(1, hosts)))
+
+
 def shares(wanted, room):
     """Own places scaled down alike where they would take more than three quarters of the room; none below one.
 
@@ -408,7 +426,7 @@
 
     def __init__(self, manners, now):
         self.manners = manners
-        self.porch_most = max(2, manners.places // 8)
+        self.porch_most = manners.porch or max(2, manners.places // 8)
         own = shares([known.own for known in manners.known], manners.places)
         self.offices = {known.name: Office(known.name, n, known.most, known.addresses, manners.office_bytes, now)
                         for known, n in zip(manners.known, own, strict=True)}
@@ -424,7 +442,7 @@
         if caller.office is not None:
             return self.take_office(caller, caller.office, now)
         for street in caller.streets:
-            if len(street.seated) >= max(1, int(self.common * PARTS[street.width])):
+            if len(street.seated) >= max(1, int(self.common * self.manners.parts[street.width])):
                 victim = self.longest(street.seated, now)
                 if victim is None:
                     return "too many connections from this network", []
@@ -509,7 +527,7 @@
         victim = None
         if len(self.slots) >= self.most:
             drawn = [self.slots[int(self.chance() * len(self.slots))] for _ in range(4)]
-            victim = max(drawn, key=lambda c: (c.hinted is None, c.streets[2].porch, c.streets[0].porch))
+            victim = max(drawn, key=lambda c: (c.hinted is None, c.streets[2].porch, c.streets[0].porch, -c.since))
             self.leave(victim)
         caller.slot = len(self.slots)
         self.slots.append(caller)
--- a/cherrydoor/admission/listener.py
+++ b/cherrydoor/admission/listener.py
@@ -11,20 +11,21 @@
 from functools import lru_cache
 from typing import Any
 
-import structlog
-
 from cherrydoor.admission import decide as d
 from cherrydoor.frames import codec
 from cherrydoor.frames import messages as m
 
-log = structlog.get_logger()
-
 NO_DESCRIPTORS = {errno.EMFILE, errno.ENFILE}
 NO_ROOM = NO_DESCRIPTORS | {errno.ENOBUFS, errno.ENOMEM}
 AT_ONCE = 32                # accepted in one pass of the loop
 CHUNK = 16 * 1024           # bytes read from one client in one pass, so that all have their turn
 
 
+def logged(event, **said):
+    import structlog  # here, as a process that has another log need not load it
+    structlog.get_logger().info(event, **said)
+
+
 @lru_cache(maxsize=256)
 def word_of(reason, stay_away):
     """The bytes of a refusal; the wait in whole 10 ms, upwards, so that few are made."""
@@ -73,12 +74,15 @@
         self.at, self.ran = t, ran
         if t - self.counted > 0.5:
             self.counted, self.descriptors = t, self.used()
-        held = 0
-        if self.files.get("statm") is not None:
-            held = int(os.pread(self.files["statm"], 128, 0).split()[1]) * self.page
-        self.last = d.Measured(self.descriptors / self.limit, held / self.memory, busy)
+        self.last = d.Measured(self.descriptors / self.limit, self.measure_held() / self.memory, busy)
         return self.last
 
+    def measure_held(self):
+        """Bytes of memory; 0 where the system does not tell."""
+        if self.files.get("statm") is None:
+            return 0
+        return int(os.pread(self.files["statm"], 128, 0).split()[1]) * self.page
+
     def let_go(self):
         """The spare one, if it is still held; True where there was one to give."""
         if self.spare is None:
@@ -141,7 +145,7 @@
         sock, self.sock = self.sock, None
         if sock is not None:
             try:
-                sock.send(word_of(word, -(-stay_away // 10) * 10.0))
+                sock.send(self.listener.word_of(word, -(-stay_away // 10) * 10.0))
                 sock.shutdown(socket.SHUT_WR)
                 sock.recv(4096)
             except OSError:
@@ -156,10 +160,11 @@
 
 
 class Listener:
-    """One listening socket. make(arrival) gives the protocol; context() the TLS to use now, or None is in its place."""
+    """One listening socket. make(arrival) gives the protocol; context() the TLS to use now, or None is in its place;
+    word(reason, stay_away) the bytes of a refusal."""
 
-    def __init__(self, hall, where, make, context=None, backlog=1024):
-        self.hall, self.make, self.context, self.resting = hall, make, context, None
+    def __init__(self, hall, where, make, context=None, backlog=1024, word=word_of):
+        self.hall, self.make, self.context, self.resting, self.word_of = hall, make, context, None, word
         host, port = where
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self.sock: socket.socket | None = socket.socket(family, socket.SOCK_STREAM)
@@ -218,7 +223,8 @@
 class Hall:
     """One gateway's guard with its listeners. close() ends all."""
 
-    def __init__(self, manners, clock, uses):
+    def __init__(self, manners, clock, uses, log=logged):
+        self.log = log
         self.guard, self.clock, self.uses, self.listeners = d.Guard(manners, clock.now()), clock, uses, []
         self.loop, self.said = asyncio.get_running_loop(), {}
         self.carry = {d.LetIn: self.let_in, d.Seat: self.seat, d.Refuse: self.refuse, d.Pause: self.pause,
@@ -249,7 +255,7 @@
         now = self.clock.now()
         at, count = self.said.get(word, (-1e18, 0))
         if now - at >= 10000:
-            log.info("clients are refused", why=word, address=address, more=count)
+            self.log("clients are refused", why=word, address=address, more=count)
             at, count = now, -1
         self.said[word] = at, count + 1
 
--- a/cherrydoor/cli/commands.py
+++ b/cherrydoor/cli/commands.py
@@ -43,6 +43,14 @@
     sys.exit(run(leases, make, tied, tell if announce else None))
 
 
+@main.command()
+@click.option("--trace", default=0.0, help="Ms between lines that set beliefs beside traffic; 0 for none.")
+def platform(trace):
+    """Run the gateway on the platform, as PROXY_CONFIG tells it, until SIGTERM (docs/operate/platform.md)."""
+    from cherrydoor.platform.process import main as run
+    sys.exit(run(trace))
+
+
 @main.group()
 def lease():
     """Check and show leases, the files that gateways are handed."""
--- a/cherrydoor/gateway/desk.py
+++ b/cherrydoor/gateway/desk.py
@@ -309,9 +309,17 @@
         if link.state != DIALING:       # it timed out in the meantime
             return wire.close("")
         link.state, link.wire = OPEN, wire
-        for message in link.waiting:
-            wire.write(message)
-        link.waiting = []
+        waiting, link.waiting = link.waiting, []
+        for message in waiting:
+            if link.host.row.state == "ready":
+                wire.write(message)
+            else:       # guards drains: what waited for the connection does not go out late
+                self.unsent(link, message.id)
+
+    def unsent(self, link, number):
+        """A launch, probe or order that was never written."""
+        if number in link.out:
+            self.done(link.out[number], io.UNSENT)
 
     def connect_timed_out(self, link):
         if link.state == DIALING:
--- a/cherrydoor/gateway/shell.py
+++ b/cherrydoor/gateway/shell.py
@@ -1,20 +1,19 @@
 """The sockets of one gateway: door, floor and the list's follower. Bytes to inputs of the desk, its writes to bytes."""
 
 import asyncio
-import time
 from dataclasses import replace
-from math import ceil
 
 import msgspec
 import structlog
 
 from cherrydoor import interface as io
 from cherrydoor.admission import decide as d
-from cherrydoor.admission.listener import CHUNK, NO_DESCRIPTORS, Hall, Listener, Read, Uses
+from cherrydoor.admission.listener import CHUNK, Hall, Listener, Read, Uses
 from cherrydoor.ends import End, Some
 from cherrydoor.frames import codec
 from cherrydoor.frames import messages as m
 from cherrydoor.gateway.desk import Client, Desk
+from cherrydoor.gateway.turn import Clock, Turn, address, dial
 from cherrydoor.keys import decide as k
 from cherrydoor.keys.keeper import Keeper, NotProved, Where
 from cherrydoor.versions.feed import Releases
@@ -22,22 +21,6 @@
 log = structlog.get_logger()
 
 
-def address(text):
-    """'127.0.0.1:4000' or '[::1]:4000' as host and port."""
-    host, _, port = text.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
-class Clock:
-    """Ms since 1970 at the start, from there on by the monotonic clock: it never goes back."""
-
-    def __init__(self):
-        self.ahead = time.time() * 1000 - time.monotonic() * 1000
-
-    def now(self):
-        return time.monotonic() * 1000 + self.ahead
-
-
 HELLO = 8192        # bytes of the longest hello that is read
 EASE, LONGEST_EASE = 0.1, 30.0      # s between looks at whether a connection that is to end has anything open
 QUIET = 250.0       # ms without a word from a client before its connection is closed on it
@@ -156,21 +139,7 @@
         asyncio.get_running_loop().create_task(self.connect(link))
 
     async def connect(self, link):
-        shell = self.shell
-        try:
-            async with asyncio.timeout(shell.desk.terms.connect / 1000):
-                while True:
-                    try:
-                        await asyncio.get_running_loop().create_connection(
-                            lambda: HostEnd(shell, link), *address(link.host.id), ssl=shell.keeper.client)
-                        break
-                    except OSError as error:
-                        if error.errno not in NO_DESCRIPTORS:
-                            raise
-                        shell.hall.needs_descriptor()
-                        await asyncio.sleep(0.002)      # the closing takes effect in the loop's next pass
-        except (TimeoutError, OSError, ValueError):
-            shell.post(shell.desk.unlinked, link)
+        await dial(self.shell, link, link.host.id, lambda: HostEnd(self.shell, link), self.shell.keeper.client)
 
     def greeted(self, end, hello):
         if hello.role != "host":
@@ -288,14 +257,14 @@
             self.gone.set_result(None)
 
 
-class Shell:
-    """One gateway: its sockets, its clock and the turn."""
+class Shell(Turn):
+    """One gateway: its sockets and what goes on between them."""
 
     def __init__(self, figures, gate, uses=None, places=None, clock=None):
         """uses: what the process has in use, shared by its gateways; places: connections that there are descriptors
         for."""
-        self.figures, self.bounds, self.clock = figures, figures.bounds, clock or Clock()
-        self.loop, self.timer, self.timer_at, self.asked = asyncio.get_running_loop(), None, 0.0, False
+        super().__init__(clock or Clock())
+        self.figures, self.bounds = figures, figures.bounds
         self.door, self.floor = Door(self), Floor(self)
         self.roll = Roll(self, figures.list_at, figures.saved, figures.lease.asks)
         self.make_gate, self.broken = gate, 0
@@ -335,19 +304,7 @@
         """Opens the door; its port."""
         return Listener(self.hall, where, make, context).port
 
-    # ---- the turn: all callbacks of one pass of the loop share it
-    def post(self, what, *args):
-        if self.desk.post(what, *args) and not self.asked:
-            self.asked = True
-            self.loop.call_soon(self.turn)
-
-    def turn(self):
-        self.asked = False
-        try:
-            self.desk.turn(self.clock.now())
-        except Exception:
-            self.start_anew()
-        self.set_timer()
+    def turned(self):
         if self.desk.draining is not None and not self.desk.taken and not self.done.done():
             self.done.set_result(0)
 
@@ -368,20 +325,6 @@
         if self.broken > 5 and not self.done.done():
             self.done.set_result(70)
 
-    def set_timer(self):
-        at = self.desk.next_alarm()
-        if self.timer is not None:
-            if self.timer_at == at:
-                return
-            self.timer.cancel()
-        self.timer_at = at
-        # whole ms, upwards: a shorter wait would be rounded to none, and the loop would turn until the time came
-        self.timer = self.loop.call_later(max(0, ceil(at - self.clock.now())) / 1000, self.rung)
-
-    def rung(self):
-        self.timer = None
-        self.turn()
-
     def drain(self, reason):
         if self.desk.draining is None:
             log.info("draining", gateway=self.figures.name, events=len(self.desk.taken), reason=reason)
@@ -405,8 +348,7 @@
             for link in host.links:
                 if link.wire is not None:
                     link.wire.close()
-        if self.timer:
-            self.timer.cancel()
+        self.halt()
         self.roll.save()
         if self.own_uses:
             self.uses.close()
--- /dev/null
+++ b/cherrydoor/gateway/turn.py
@@ -0,0 +1,89 @@
+"""The turn of one gateway on its loop, and dialling a host: what every shell around a desk shares."""
+
+import asyncio
+import time
+from math import ceil
+from typing import Any
+
+from cherrydoor.admission.listener import NO_DESCRIPTORS
+
+
+def address(text):
+    """'127.0.0.1:4000' or '[::1]:4000' as host and port."""
+    host, _, port = text.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class Clock:
+    """Ms since 1970 at the start, from there on by the monotonic clock: it never goes back."""
+
+    def __init__(self):
+        self.ahead = time.time() * 1000 - time.monotonic() * 1000
+
+    def now(self):
+        return time.monotonic() * 1000 + self.ahead
+
+
+class Turn:
+    """All callbacks of one pass of the loop share a turn of the desk. A subclass has a desk."""
+    desk: Any
+
+    def __init__(self, clock):
+        self.clock, self.loop = clock, asyncio.get_running_loop()
+        self.timer, self.timer_at, self.asked = None, 0.0, False
+
+    def post(self, what, *args):
+        if self.desk.post(what, *args) and not self.asked:
+            self.asked = True
+            self.loop.call_soon(self.turn)
+
+    def turn(self):
+        self.asked = False
+        try:
+            self.desk.turn(self.clock.now())
+        except Exception:
+            self.start_anew()
+        self.set_timer()
+        self.turned()
+
+    def turned(self):
+        """After each turn."""
+
+    def start_anew(self):
+        raise NotImplementedError
+
+    def set_timer(self):
+        at = self.desk.next_alarm()
+        if self.timer is not None:
+            if self.timer_at == at:
+                return
+            self.timer.cancel()
+        self.timer_at = at
+        # whole ms, upwards: a shorter wait would be rounded to none, and the loop would turn until the time came
+        self.timer = self.loop.call_later(max(0, ceil(at - self.clock.now())) / 1000, self.rung)
+
+    def rung(self):
+        self.timer = None
+        self.turn()
+
+    def halt(self):
+        if self.timer:
+            self.timer.cancel()
+
+
+async def dial(shell, link, where, make, seal=None):
+    """Connects to a host within the time for it; the desk is told where that fails. A lack of descriptors is told to
+    the doors, and the connection waits for what they let go."""
+    try:
+        async with asyncio.timeout(shell.desk.terms.connect / 1000):
+            while True:
+                try:
+                    await asyncio.get_running_loop().create_connection(make, *address(where), ssl=seal)
+                    break
+                except OSError as error:
+                    if error.errno not in NO_DESCRIPTORS:
+                        raise
+                    shell.hall.needs_descriptor()
+                    await asyncio.sleep(0.002)      # the closing takes effect in the loop's next pass
+    except (TimeoutError, OSError, ValueError):
+        shell.post(shell.desk.unlinked, link)
--- /dev/null
+++ b/cherrydoor/platform/bulletin.py
@@ -0,0 +1,108 @@
+"""Follows the bulletin: events in order of their numbers, asked for anew when they break off or fall silent."""
+
+import asyncio
+from typing import Any
+
+from cherrydoor import interface as io
+from cherrydoor.codecs import sse
+from cherrydoor.frames import messages as m
+from cherrydoor.gateway.turn import address
+
+SILENCE = 1.8               # s without a line, where a comment is due each second
+CONNECT = 0.5               # s that a connection may take
+PAUSES = (0.0, 0.05, 0.1, 0.2, 0.4)     # s before the next try, by how many failed in a row
+
+
+class Reading(asyncio.Protocol):
+    """One connection to the bulletin."""
+
+    def __init__(self, follower, where):
+        self.follower, self.where, self.reader, self.transport = follower, where, sse.Reader(), None
+        self.over: Any = asyncio.get_running_loop().create_future()
+
+    def connection_made(self, transport):
+        self.transport = transport
+        transport.write(sse.request(self.where, self.follower.last))
+
+    def data_received(self, data):
+        self.follower.alive = asyncio.get_running_loop().time()
+        try:
+            for told in self.reader.feed(data):
+                self.follower.heard(told)
+        except sse.Unreadable as error:
+            self.end(str(error))
+
+    def end(self, why):
+        if not self.over.done():
+            self.over.set_result(why)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, error):
+        self.end(str(error) if error else "it broke off")
+
+
+class Follower:
+    """`last` is the number of the last event told. move(where) goes on elsewhere."""
+
+    def __init__(self, shell, where, last):
+        self.shell, self.where, self.last, self.alive, self.task = shell, where, last, 0.0, None
+        self.reading: Any = None
+
+    def start(self):
+        self.task = asyncio.get_running_loop().create_task(self.follow())
+
+    def stop(self):
+        if self.task:
+            self.task.cancel()
+        if self.reading:
+            self.reading.end("")
+
+    async def follow(self):
+        loop, failed = asyncio.get_running_loop(), 0
+        while True:
+            where, began = self.where, self.last
+            why = await self.read(loop, where)
+            failed = 0 if self.last > began or self.where != where or why == "silence" else failed + 1
+            self.shell.desk.counts["bulletin connections ended"] += 1
+            self.shell.say("the bulletin's connection has ended", where=where, why=why, last=self.last)
+            await asyncio.sleep(PAUSES[min(failed, len(PAUSES) - 1)])
+
+    async def read(self, loop, where):
+        """Reads one connection to its end; says why it ended."""
+        reading = self.reading = Reading(self, where)
+        try:
+            async with asyncio.timeout(CONNECT):
+                await loop.create_connection(lambda: reading, *address(where))
+        except (TimeoutError, OSError) as error:
+            reading.end("")
+            return f"not reached: {error or 'time-out'}"
+        self.alive = loop.time()
+        while not reading.over.done():
+            left = self.alive + SILENCE - loop.time()
+            if left <= 0:
+                reading.end("silence")
+                break
+            await asyncio.wait([reading.over], timeout=left)
+        return reading.over.result()
+
+    def move(self, where):
+        if where != self.where:
+            self.where = where
+            if self.reading:
+                self.reading.end("the bulletin has moved")
+
+    def heard(self, told):
+        """Each number counts once, whichever connection brings it."""
+        if told.no <= self.last:
+            self.shell.desk.counts["bulletin events doubled"] += 1
+            return
+        self.last = told.no
+        self.tell(told)
+
+    def tell(self, told):
+        if told.rows is None:
+            return
+        rows = [m.Row(row.id, row.state, row.started, row.zone, row.cell) for row in told.rows]
+        self.shell.post(self.shell.floor.listed, io.WHOLE if told.whole else io.CHANGES, rows,
+                        {row.id: row.address for row in told.rows if row.state != sse.GONE})
--- /dev/null
+++ b/cherrydoor/platform/doors.py
@@ -0,0 +1,189 @@
+"""The platform's door: client connections, each a conversation, and the one event that is open on it."""
+
+import asyncio
+
+from cherrydoor.admission import decide as d
+from cherrydoor.admission.listener import CHUNK, Read
+from cherrydoor.codecs import invoke
+from cherrydoor.frames import messages as m
+from cherrydoor.gateway.desk import Client
+
+HANDLED, BAD, KNOWN, LOST, DEFERRED = 200, 400, 409, 502, 503
+MOST_WAITING = 256 * 1024       # bytes that may wait for a client that does not read
+
+
+class ClientEnd(Read, asyncio.BaseProtocol):
+    """A client connection, and the desk's `wire` to it."""
+
+    def __init__(self, door, arrival):
+        self.door, self.arrival, self.chunk = door, arrival, door.chunk
+        self.talk, self.client, self.transport, self.closing = invoke.Conversation(), Client(self), None, False
+        self.waits, self.seated_once = None, False      # the id that an answer is owed for
+        arrival.caller.open = self.client.open
+
+    def connection_made(self, transport):
+        self.arrival.end, self.transport = self, transport
+
+    def data_received(self, data):
+        if not self.closing:
+            self.noted(self.talk.feed(data))
+            self.holds(self.talk.held, False)
+            if self.talk.full():
+                self.pause()
+
+    def noted(self, note):
+        if self.talk.reply:
+            self.transport.write(self.talk.reply)
+            self.talk.reply = b""
+        if type(note) is invoke.Bad:
+            self.door.shell.desk.counts[f"bad calls: {note.status}"] += 1
+            self.reply(note.status, note.reason, close=True)
+        elif note is not None and self.door.seat(self):
+            self.door.heard(self, note)
+
+    def seated(self, largest):
+        self.seated_once = True
+
+    def write(self, message):
+        """An answer of the desk's; where the gateway is leaving, the connection closes with its next answer."""
+        if type(message) is not m.Answer:
+            return
+        self.door.answered(self)
+        if message.fate == "handled":
+            self.reply(HANDLED, message.body)
+        elif message.fate == "deferred":
+            self.reply(DEFERRED, message.reason, message.stay_away)
+        else:
+            self.reply(LOST, message.reason)
+
+    def reply(self, status, body, stay_away=0.0, close=False):
+        """The one place where an answer goes out; what was pipelined behind it is taken up."""
+        if self.closing or self.transport.is_closing():
+            return
+        body = body.encode() if isinstance(body, str) else body
+        data, over = self.talk.answer(status, body, -int(-stay_away // 1) if stay_away else None,
+                                      close or self.door.leaving)
+        self.transport.write(data)
+        self.arrival.caller.used = self.door.shell.clock.now()
+        if over:
+            return self.shut()
+        if self.transport.get_write_buffer_size() > MOST_WAITING:
+            return self.abort()
+        if self.talk.held:
+            self.door.shell.loop.call_soon(self.go_on)
+
+    def go_on(self):
+        """What was pipelined behind the answered event."""
+        if not self.closing and not self.talk.open:
+            self.resume()
+            self.data_received(b"")
+
+    def shut(self):
+        self.closing = True
+        self.transport.close()
+
+    def close(self, reason="", stay_away=0.0):
+        """Turned away by the doors: an answer where one can be given."""
+        if reason:
+            self.reply(DEFERRED, reason, stay_away, close=True)
+        if not self.closing:
+            self.shut()
+
+    def abort(self, why=""):
+        self.closing = True
+        self.transport.abort()
+
+    def eof_received(self):
+        return False        # the client waits no longer
+
+    def connection_lost(self, error):
+        self.closing = True
+        self.door.lost(self)
+
+
+class Known:
+    """Ids of events taken within the last two spans, so that no id is taken twice while an answer, a launch or a host
+    may still know it. Two sets take turns, and each is emptied when its span is over."""
+
+    def __init__(self, span):
+        self.span, self.since, self.new, self.old = span, 0.0, set(), set()
+
+    def add(self, number, now):
+        """True where the id is new."""
+        if now - self.since > self.span:
+            self.old = self.new if now - self.since < 2 * self.span else set()
+            self.new, self.since = set(), now
+        if number in self.new or number in self.old:
+            return False
+        self.new.add(number)
+        return True
+
+
+class Door:
+    """All client connections of a gateway. `ends` are open, `leaving` says that each closes with its next answer."""
+
+    def __init__(self, shell):
+        self.shell, self.ends, self.leaving = shell, {}, False
+        self.chunk = bytearray(CHUNK)       # one for all: what is read is copied out before the next is read
+        self.known = Known(2 * shell.station.longest)
+
+    def make(self, arrival):
+        end = ClientEnd(self, arrival)
+        self.ends[end] = True
+        return end
+
+    def seat(self, end):
+        """A client has said something whole: it has a place from now on, or is turned away."""
+        if not end.seated_once:
+            self.shell.hall.post(d.Shown(end.arrival.caller, ""))
+            if end.seated_once:
+                self.shell.post(self.shell.desk.came_in, end.client,
+                                m.Hello(m.VERSION, "client", "", self.shell.clock.now()))
+        return end.seated_once and not end.closing
+
+    def heard(self, end, note):
+        station, counts = self.shell.station, self.shell.desk.counts
+        if type(note) is invoke.Ping:
+            ready = self.shell.ready and not self.leaving
+            return end.reply(HANDLED if ready else DEFERRED, "" if ready else "not ready")
+        wrong = ""
+        if note.kind not in self.shell.desk.gate.deed.clauses:
+            wrong = "X-Class: no such event type"
+        elif station.customers and note.customer not in station.customers:
+            wrong = "X-Customer: no such customer"
+        elif note.patience > station.patience:
+            wrong = "X-Patience-Ms: longer than any event may take"
+        if wrong:
+            counts[f"bad calls: {wrong}"] += 1
+            return end.reply(BAD, wrong, close=True)
+        now = self.shell.clock.now()
+        if not self.known.add(note.id, now):
+            counts["bad calls: a known id"] += 1
+            return end.reply(KNOWN, "X-Call-Id: known already", close=True)
+        figures = note.figures
+        event = m.Event(int(note.id, 16), note.kind, note.function, note.patience, now, note.customer, "",
+                        figures.get("lanes", 0.0), figures.get("load_ms", 0.0), note.body)
+        end.waits = event.id
+        self.shell.post(self.came, end, event)
+
+    def came(self, end, event):
+        """The desk takes no notice of an event whose time is over; here each is owed an answer."""
+        self.shell.desk.came(end.client, event)
+        if end.waits == event.id and event.id not in end.client.open:
+            end.write(m.Answer(event.id, "deferred", 0.0, "the time is up"))
+
+    def answered(self, end):
+        end.waits = None
+
+    def lost(self, end):
+        self.ends.pop(end, None)
+        self.shell.hall.post(d.Gone(end.arrival.caller))
+        if end.seated_once:
+            self.shell.post(self.shell.desk.went, end.client)
+
+    def leave(self):
+        """Idle connections close; those with an open event do so with its answer."""
+        self.leaving = True
+        for end in list(self.ends):
+            if not end.talk.open and not end.talk.held and not end.closing:
+                end.shut()
--- /dev/null
+++ b/cherrydoor/platform/links.py
@@ -0,0 +1,143 @@
+"""Connections to the platform's hosts: the desk's messages to commands, answers back to messages."""
+
+import asyncio
+from typing import Any
+
+from cherrydoor import interface as io
+from cherrydoor.codecs import resp
+from cherrydoor.frames import messages as m
+from cherrydoor.gateway.turn import dial
+
+MOST_WAITING = 4 << 20          # bytes that may wait for a host that does not read
+UNFINISHED = 0.25               # s that the rest of an answer may take; guards against those that stop short. Harms
+                                # where a host stands still in the midst of an answer: its launch is held to be lost
+FATES: dict[str, Any] = {resp.DONE: io.HANDLED, resp.MISSING: io.MISSING, resp.FULL: io.FULL, resp.BROKE: io.ERROR,
+                         resp.PAST: io.UNSENT}
+
+
+class HostEnd(asyncio.Protocol):
+    """One connection to a host. `tags` holds what an answer is owed for, by the word on the wire; each entry goes
+    with its answer or when it is dropped, so there are as many as the link has open."""
+
+    def __init__(self, floor, link):
+        self.floor, self.link, self.reader, self.tags, self.timer = floor, link, resp.Reader(), {}, None
+        self.transport: Any = None
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.floor.ends[self] = True
+        self.floor.shell.post(self.floor.shell.desk.linked, self.link, self)
+
+    def write(self, message):
+        if self.transport.is_closing():
+            if type(message) is not m.Recall:
+                self.floor.shell.post(self.floor.shell.desk.unsent, self.link, message.id)
+            return
+        kind = type(message)
+        if kind is m.Launch:
+            tag = f"{message.event:016x}"
+            self.tags[tag] = message.id
+            data = resp.execute(tag, message.clause, message.function, message.limit, message.body)
+        elif kind is m.Recall:
+            tag = next((tag for tag, number in self.tags.items() if number == message.id), "")
+            if not tag:
+                return
+            del self.tags[tag]
+            data = resp.drop(tag)
+        elif kind is m.Probe:
+            data = resp.health(f"p{message.id}")
+        elif kind is m.Order:
+            data = resp.ensure(f"o{message.id}", message.function, message.copies)
+        elif kind is m.Drop:
+            data = resp.release(message.function)
+        else:
+            raise TypeError(f"no command for {message!r}")
+        self.floor.crossed(self.link.host.id, kind.__name__)
+        self.transport.write(data)
+        if self.transport.get_write_buffer_size() > MOST_WAITING:
+            self.floor.spoilt(self, "the host reads too slowly")
+
+    def data_received(self, data):
+        for answer in self.reader.feed(data):
+            self.heard(answer)
+        if self.reader.spoilt:
+            self.floor.spoilt(self, self.reader.spoilt)
+        elif self.reader.held and self.timer is None:
+            self.timer = self.floor.shell.loop.call_later(UNFINISHED, self.unfinished, len(self.reader.held))
+        elif not self.reader.held and self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def unfinished(self, size):
+        """Nothing more has come of an answer for a while; where some has, it has the same time again."""
+        self.timer = None
+        if len(self.reader.held) == size:
+            self.floor.spoilt(self, "an answer stops short")
+        elif self.reader.held:
+            self.timer = self.floor.shell.loop.call_later(UNFINISHED, self.unfinished, len(self.reader.held))
+
+    def heard(self, answer):
+        """What is under an id that is not open here is passed over."""
+        shell, tag, word = self.floor.shell, answer.id, answer.word
+        self.floor.crossed(self.link.host.id, word)
+        if tag in self.tags:
+            if word not in FATES:
+                return self.floor.spoilt(self, "a probe's word to a launch")
+            shell.post(shell.desk.heard, self.link, m.Outcome(
+                self.tags.pop(tag), FATES[word], answer.note, answer.crowd or 0, answer.meter.get("inflight"),
+                answer.body, None, answer.meter.get("queue"), answer.meter.get("x0")))
+        elif tag[:1] in "po" and tag[1:].isdigit() and len(tag) < 16:
+            number = int(tag[1:])
+            if tag[0] == "p" and word in (resp.FIT, resp.UNFIT):
+                fate: Any = io.HANDLED if word == resp.FIT else io.ERROR
+                shell.post(shell.desk.heard, self.link, m.Probed(number, fate, answer.meter.get("inflight")))
+            elif tag[0] == "o" and word in FATES:
+                shell.post(shell.desk.heard, self.link, m.Ordered(number, FATES[word], answer.copies or 0))
+
+    def close(self, reason=""):
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self):
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, error):
+        if self.timer is not None:
+            self.timer.cancel()
+        self.floor.ends.pop(self, None)
+        self.floor.shell.post(self.floor.shell.desk.unlinked, self.link)
+
+
+class Floor:
+    """`places` has the address of each host that the desk knows; it is cut back with the desk's hosts."""
+
+    def __init__(self, shell):
+        self.shell, self.places, self.ends, self.traffic = shell, {}, {}, None
+
+    def dial(self, link):
+        asyncio.get_running_loop().create_task(self.connect(link))
+
+    async def connect(self, link):
+        await dial(self.shell, link, self.places.get(link.host.id, ""), lambda: HostEnd(self, link))
+
+    def spoilt(self, end, why):
+        """The connection is of no more use: what is open on it may have run."""
+        counts = self.shell.desk.counts
+        counts["links spoilt"] += 1
+        self.crossed(end.link.host.id, "spoilt")
+        self.shell.say("a host's connection is spoilt", host=end.link.host.id, why=why)
+        end.abort()
+        self.shell.post(self.shell.desk.unlinked, end.link)
+
+    def listed(self, how, rows, places):
+        self.places.update(places)
+        self.shell.desk.listed(how, rows)
+        if len(self.places) > 2 * len(self.shell.desk.hosts) + 16:
+            self.places = {name: at for name, at in self.places.items() if name in self.shell.desk.hosts}
+
+    def crossed(self, host, what):
+        """Counts what crosses the sockets, while a trace is on."""
+        if self.traffic is not None:
+            self.traffic.setdefault(host, {}).setdefault(what, 0)
+            self.traffic[host][what] += 1
--- /dev/null
+++ b/cherrydoor/platform/process.py
@@ -0,0 +1,222 @@
+"""`cherrydoor platform`: the one gateway of this process, from its configuration to the signal that ends it."""
+
+import asyncio
+import gc
+import json
+import os
+import resource
+import signal
+import sys
+import time
+import traceback
+
+import uvloop
+
+from cherrydoor.admission import decide as d
+from cherrydoor.admission.listener import Hall, Listener, Uses
+from cherrydoor.codecs import invoke
+from cherrydoor.frames import messages as m
+from cherrydoor.gateway.desk import Desk
+from cherrydoor.gateway.turn import Turn, address
+from cherrydoor.logic import Gateway
+from cherrydoor.platform import configuration
+from cherrydoor.platform.bulletin import Follower
+from cherrydoor.platform.doors import Door
+from cherrydoor.platform.links import Floor
+
+BAD_CONFIGURATION, PORT_TAKEN, BROKEN = 64, 69, 70
+COMING = 0.7                # s after SIGTERM for which clients still come
+LEAST_LAST = 3.0            # s that the longest time of an event counts for at least, when leaving
+FACTS = 10.0                # s between lines with what the process uses
+
+
+class Clock:
+    """The system's Unix time in ms, as the rules are judged by it."""
+
+    def now(self):
+        return time.time() * 1000
+
+
+class Use(Uses):
+    """What is in use, by the platform's limits: memory beyond what the start took, and no part of a core, since all
+    clients come by one front and none is to be read less than another."""
+
+    def __init__(self, memory, descriptors):
+        super().__init__(memory)
+        self.limit, self.base = min(self.limit, descriptors), 0
+
+    def measure(self):
+        said = super().measure()
+        part = (said.memory * self.memory - self.base) / max(1.0, self.memory - self.base)
+        return d.Measured(said.descriptors, max(0.0, part), 0.0)
+
+
+class Platform(Turn):
+    """The sockets of one gateway on the platform."""
+
+    def __init__(self, station, path, trace=0.0):
+        super().__init__(Clock())
+        self.station, self.path, self.trace, self.ready, self.code = station, path, trace, False, None
+        self.said, self.began, self.listener, self.desk = {}, self.clock.now(), None, None
+        self.uses = Use(station.memory, station.descriptors)
+        self.hall = Hall(station.manners, self.clock, self.uses, self.say)
+        self.door, self.floor = Door(self), Floor(self)
+        self.done = self.loop.create_future()
+        self.desk = self.new_desk()
+        last, items = station.known
+        self.bulletin = Follower(self, station.bulletin, last)
+        for told in items:
+            self.bulletin.tell(told)
+
+    def new_desk(self):
+        return Desk(Gateway(self.station.lease), self.station.terms, self.floor.dial, self.clock.now())
+
+    def say(self, event, **said):
+        """A line on standard error; the same event at most once a second, with how often it was left out."""
+        now = self.clock.now()
+        at, left = self.said.get(event, (-1e18, 0))
+        if now - at < 1000:
+            self.said[event] = at, left + 1
+            return
+        self.said[event] = now, 0
+        more = {"more": left} if left else {}
+        print(json.dumps({"at": round(now), "is": event, **said, **more}), file=sys.stderr, flush=True)
+
+    async def run(self):
+        try:
+            self.listener = Listener(self.hall, address(self.station.listen), self.door.make, word=invoke.refusal)
+        except OSError as error:
+            print(f"{self.station.listen}: the door cannot be opened: {error.strerror}", file=sys.stderr)
+            return PORT_TAKEN
+        self.loop.add_signal_handler(signal.SIGHUP, self.read_anew)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.terminate)
+        self.bulletin.start()
+        self.turn()
+        gc.collect()
+        gc.freeze()
+        self.uses.base = self.uses.measure_held()
+        self.ready = True
+        self.say("ready", gateway=self.station.name, listen=self.station.listen, hosts=len(self.desk.hosts),
+                 held_mb=round(self.uses.base / 2**20, 1), links=self.station.terms.links,
+                 places=self.station.manners.places, cores=self.station.cores,
+                 memory_mb=self.station.memory >> 20, sockets=self.station.descriptors)
+        self.loop.call_later(FACTS, self.facts)
+        if self.trace:
+            self.floor.traffic = {}
+            self.loop.call_later(self.trace / 1000, self.believed)
+        code = await self.done
+        self.facts()
+        self.bulletin.stop()
+        self.hall.close()
+        for end in list(self.door.ends):
+            end.shut()
+        for end in list(self.floor.ends):
+            end.close()
+        self.halt()
+        await asyncio.sleep(0.02)
+        return code
+
+    # ---- signals
+    def read_anew(self):
+        """SIGHUP: the bulletin of the file counts from now on; a file that cannot be used is told, and left."""
+        try:
+            new = configuration.read(self.path, self.station.listen, self.station.descriptors)
+        except configuration.Wrong as error:
+            return self.say("the new configuration is wrong, the old one is kept", why=str(error))
+        for told in new.known[1]:
+            self.bulletin.heard(told)
+        self.bulletin.move(new.bulletin)
+        self.say("the configuration is read anew", bulletin=new.bulletin, last=self.bulletin.last)
+
+    def terminate(self):
+        """SIGTERM: clients still come for a while; then the door closes, and what is held is answered."""
+        if self.code is not None:
+            return
+        self.code = 0
+        self.say("leaving", events=len(self.desk.taken))
+        self.loop.call_later(COMING, self.close_door)
+        last = max(LEAST_LAST, self.station.longest / 1000)
+        self.loop.call_later(COMING + last - 0.2, self.end, 3)
+
+    def close_door(self):
+        self.hall.close()
+        self.post(self.desk.drain, "the gateway is leaving")
+        self.door.leave()
+        self.loop.call_later(0.1, self.look)
+
+    def look(self):
+        """Ends when nobody waits for an answer any more."""
+        if not self.door.ends:
+            return self.end(0)
+        self.door.leave()
+        self.loop.call_later(0.05, self.look)
+
+    def end(self, code):
+        if not self.done.done():
+            self.done.set_result(code)
+
+    # ---- the turn
+    def start_anew(self):
+        """A fault in the decisions ends this desk's life: whatever it holds is dead-lettered, its links are cut, and
+        another begins with the same hosts."""
+        print(traceback.format_exc(), file=sys.stderr, flush=True)
+        old, rows = self.desk, self.desk.rows()
+        for taken in list(old.taken.values()):
+            if not taken.over:
+                taken.client.wire.write(m.Answer(taken.event.id, "dead-lettered", 0.0, "the gateway starts anew"))
+        for end in list(self.floor.ends):
+            end.abort()
+        self.desk = self.new_desk()
+        self.desk.counts.update(old.counts)
+        self.desk.counts["started anew"] += 1
+        self.post(self.desk.listed, "saved", rows)
+
+    # ---- what an operator sees
+    def facts(self):
+        use = resource.getrusage(resource.RUSAGE_SELF)
+        self.loop.call_later(FACTS, self.facts)
+        print(json.dumps({
+            "at": round(self.clock.now()), "is": "facts", "for_s": round((self.clock.now() - self.began) / 1000, 1),
+            "cpu_s": round(use.ru_utime + use.ru_stime, 2), "held_mb": round(self.uses.measure_held() / 2**20, 1),
+            "descriptors": self.uses.used(), "clients": len(self.door.ends), "links": len(self.floor.ends),
+            "events": len(self.desk.taken), "hosts": len(self.desk.hosts), "counts": dict(self.desk.counts),
+            "doors": self.hall.guard.counts}), file=sys.stderr, flush=True)
+
+    def believed(self):
+        """The trace: for each host what the module holds to be so, beside what has crossed the sockets since."""
+        self.loop.call_later(self.trace / 1000, self.believed)
+        gate, now = self.desk.gate, self.clock.now()
+        traffic, self.floor.traffic = self.floor.traffic, {}
+        rows = []
+        for name, host in sorted(gate.hosts.items()):
+            desk = self.desk.hosts.get(name)
+            open_ = sum(len(link.out) for link in desk.links) if desk else 0
+            rows.append({"host": name, "state": host.state, "out": len(host.out), "load": host.load(),
+                         "busy": host.sheds, "shut": max(0, round(host.shut - now)), "strikes": host.strikes,
+                         "probing": host.probing, "mean": round(host.mean(), 1), "level": round(host.level(now), 2),
+                         "full": round(host.full.read(now), 2),
+                         "copies": sum(host in f.copies for f in gate.history.functions.values()),
+                         "links": len(desk.links) if desk else 0, "open": open_, "crossed": traffic.get(name, {})})
+        print(json.dumps({"at": round(now), "is": "believed", "mean": round(gate.mean(), 1), "blind": gate.blind,
+                          "brisk": round(gate.brisk, 1), "load": round(gate.load), "hosts": rows}),
+              file=sys.stderr, flush=True)
+
+
+def main(trace=0.0):
+    """Runs the gateway that the environment tells of; its exit code."""
+    path, listen = os.environ.get("PROXY_CONFIG"), os.environ.get("PROXY_LISTEN")
+    try:
+        if not path:
+            raise configuration.Wrong("PROXY_CONFIG: a file's path expected in the environment")
+        station = configuration.read(path, listen, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        said = os.environ.get("PROXY_NAME")
+        if said and said != station.name:
+            raise configuration.Wrong(f"PROXY_NAME: {said!r} is not the configuration's name {station.name!r}")
+    except configuration.Wrong as error:
+        print(f"cherrydoor platform: {error}", file=sys.stderr)
+        return BAD_CONFIGURATION
+
+    async def life():
+        return await Platform(station, path, trace).run()
+    return uvloop.run(life())
