Plain calls are read before h11, and what a connection held is freed as it ends

A call that is whole, alone and plain is now matched in one piece (0.70 ms an event), and h11 is made for a connection only where something differs. Memory grew 27 to 44 MB over 6000 connections: cycles between a connection's parts waited for a full collection, which the frozen start put off. They are cut when a connection ends, full collections are made sooner: 27.8 to 31.8 MB.

--- a/cherrydoor/codecs/invoke.py
+++ b/cherrydoor/codecs/invoke.py
@@ -2,16 +2,23 @@
 
 A Conversation is fed bytes and gives Call, Ping or Bad; what is pipelined waits, bounded, until the answer is given.
 After a Bad nothing more is read: its answer closes the connection.
+
+A call that comes whole, alone and in plain form, as nearly all do, is read here, as h11 takes a third of an event's
+time; whatever differs in the least is h11's from its first byte, and h11 is idle while a plain call is open.
 """
 
 import re
 from dataclasses import dataclass, field
+from typing import Any
 
 import h11
 
 LARGEST_HEAD, LARGEST_BODY = 8 * 1024, 16 * 1024
 MOST_AHEAD = 32 * 1024          # bytes pipelined behind an open event; beyond it reading has to pause
 PATH = re.compile(rb"/call/([0-9a-f]{16})/sync\Z")
+PLAIN = re.compile(rb"(POST) (/call/[0-9a-f]{16}/sync) HTTP/(1\.1)\r\n"
+                   rb"((?:[A-Za-z0-9-]{1,40}: [!-~]{1,300}\r\n){1,32})\r\n")
+NOT_PLAIN = (b"transfer-encoding", b"expect", b"connection", b"upgrade")
 ID = re.compile(rb"[0-9a-f]{16}\Z")
 NAME = re.compile(rb"[!-~]{1,256}\Z")
 FIGURE = re.compile(rb"\d{1,9}(\.\d{1,9})?\Z")
@@ -103,18 +110,54 @@
                 path[1].decode(), float(patience), figures)
 
 
+@dataclass(slots=True)
+class Head:
+    """A request's head, by the names that h11 gives it."""
+    method: bytes
+    target: bytes
+    http_version: bytes
+    headers: list
+
+
+def plain(data):
+    """The Call or Bad of bytes that are one whole call in plain form; None where they are anything else."""
+    found = PLAIN.match(data)
+    if found is None:
+        return None
+    headers = []
+    for line in found[4][:-2].split(b"\r\n"):
+        name, _, value = line.partition(b": ")
+        name = name.lower()
+        if name in NOT_PLAIN or name == b"content-length" and not (value.isdigit() and len(value) < 6):
+            return None
+        headers.append((name, value))
+    note, size = call_of(Head(found[1], found[2], found[3], headers)), 0
+    for name, value in headers:
+        if name == b"content-length":
+            size = int(value)
+    if type(note) is Bad or len(data) != found.end() + size:
+        return None
+    note.body = data[found.end():]
+    return note
+
+
 class Conversation:
     """One client connection. `open`: a note was given and its answer is owed; `held`: bytes of what is unfinished."""
 
     def __init__(self):
-        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=LARGEST_HEAD)
+        self.http: Any = None   # made for the first that is not plain
         self.note, self.body, self.open, self.bad, self.held, self.reply = None, [], False, False, 0, b""
+        self.plain = False      # the open event was read here: h11 has seen nothing of it
 
     def feed(self, data):
         """Call, Ping or Bad, or None while nothing is whole. Bytes to be sent at once are left in `reply`."""
         if self.bad:
             return None
+        if not self.open and not self.held and (note := plain(data)):
+            self.open = self.plain = True
+            return note
         self.held += len(data)
+        self.http = self.http or h11.Connection(h11.SERVER, max_incomplete_event_size=LARGEST_HEAD)
         try:
             if data:
                 self.http.receive_data(data)
@@ -155,6 +198,12 @@
         """(bytes, whether the connection closes after them): the one answer that is owed."""
         close = close or self.bad
         self.open = False
+        if self.plain and not close:
+            self.plain = False
+            wait = b"" if come_back is None else b"X-Come-Back-Ms: %d\r\n" % come_back
+            return b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b\r\n%b" % (
+                status, PHRASES[status], len(body), wait, body), False
+        self.http = self.http or h11.Connection(h11.SERVER)
         if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return b"", True
         headers = [(b"Content-Length", b"%d" % len(body))]
--- a/cherrydoor/platform/doors.py
+++ b/cherrydoor/platform/doors.py
@@ -100,6 +100,11 @@
         self.closing = True
         self.door.lost(self)
 
+    def released(self):
+        """Nothing points back here any more: what has ended is freed at once, and does not wait for a collection."""
+        self.arrival.end = self.arrival.task = self.arrival.caller.wire = self.transport = None
+        self.client.wire = self.arrival = None
+
 
 class Known:
     """Ids of events taken within the last two spans, so that no id is taken twice while an answer, a launch or a host
@@ -180,6 +185,7 @@
         self.shell.hall.post(d.Gone(end.arrival.caller))
         if end.seated_once:
             self.shell.post(self.shell.desk.went, end.client)
+        self.shell.post(end.released)
 
     def leave(self):
         """Idle connections close; those with an open event do so with its answer."""
--- a/cherrydoor/platform/process.py
+++ b/cherrydoor/platform/process.py
@@ -95,6 +95,7 @@
         self.turn()
         gc.collect()
         gc.freeze()
+        gc.set_threshold(1000, 5, 2)        # little is kept: a full collection is cheap, and memory stays flat
         self.uses.base = self.uses.measure_held()
         self.ready = True
         self.say("ready", gateway=self.station.name, listen=self.station.listen, hosts=len(self.desk.hosts),
--- /dev/null
+++ b/tests/platform/town.py
@@ -0,0 +1,302 @@
+"""The platform as a test plays it on loopback: hosts that speak RESP, a bulletin, clients, and the gateway started as
+in service, in a process of its own."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from functools import wraps
+
+LONG = 20.0         # s after which a test that waits for something has failed
+MORE = "memory_mb:512;lanes:4;load_ms:200"
+FUNCTION = "7f3a9c21e0b4d655"
+SETTINGS = {
+    "instances": 1, "me": 0, "zone": "east", "resolution": 1000, "discovery": "push",
+    "requestClasses": [{"name": "draft", "aim": 600000, "deadline": 3000000, "repeat": "repeatable"}],
+    "tenants": [{"name": "acme", "portion": 1.0, "quotaPerS": 100.0}],
+    "permissions": {"cancel": True, "mayProbe": True, "maxAttempts": 6, "retryAfter": True, "maxRetryAfter": 1000000,
+                    "connIdle": 15000000, "connectTimeout": 250000, "mostHeld": 20000},
+    "rules": {"coldFrom": 0.2, "cold": 5000000, "overloadFactor": 3.0, "fall": 3000000, "drainGrace": 2000000},
+    "familyInfo": {"ifCold": "load", "lingerIdle": 8000000, "loadControl": True, "saysWarm": True, "saysCompany": True,
+                   "loadWait": 4000000}}
+
+
+def story(test):
+    """Runs an async test with a town of its own, and clears it up."""
+    @wraps(test)
+    def run(tmp_path):
+        async def whole():
+            town = Town(tmp_path)
+            try:
+                async with asyncio.timeout(3 * LONG):
+                    await test(town)
+            finally:
+                await town.close()
+        asyncio.run(whole())
+    run.__signature__ = __import__("inspect").signature(lambda tmp_path: None)
+    return run
+
+
+class Host:
+    """Answers what `answers` says: a function of the command's words that gives bytes to write, or None. All commands
+    are kept, as (connection's number, words)."""
+
+    def __init__(self, name):
+        self.name, self.got, self.answers, self.writers, self.news = name, [], self.handles, [], asyncio.Event()
+
+    async def open(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    def handles(self, words):
+        word = words[0]
+        if word == b"exec":
+            return reply(words[1], b"DONE", b"tell=hit", b"body of " + words[1])
+        if word == b"ensure":
+            return reply(words[1], b"DONE", b"copies=1")
+        return reply(words[1], b"FIT") if word in (b"health", b"load") else None
+
+    async def serve(self, reader, writer):
+        number = len(self.writers)
+        self.writers.append(writer)
+        try:
+            while True:
+                size = int((await reader.readline())[1:])
+                words = [await reader.readexactly(int((await reader.readline())[1:]) + 2) for _ in range(size)]
+                words = [word[:-2] for word in words]
+                self.got.append((number, words))
+                self.news.set()
+                if data := self.answers(words):
+                    writer.write(data)
+        except (ValueError, asyncio.IncompleteReadError, OSError):
+            writer.close()
+
+    def commands(self, word):
+        return [words for _, words in self.got if words[0] == word]
+
+    async def until(self, word, count=1):
+        """Waits until so many of these commands have come; the last."""
+        async with asyncio.timeout(LONG):
+            while len(self.commands(word)) < count:
+                self.news.clear()
+                await self.news.wait()
+        return self.commands(word)[-1]
+
+
+def reply(number, word, fields=b"-", body=b""):
+    """An answer of a host, as bytes."""
+    return b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(w), w) for w in (number, word, fields, body))
+
+
+class Bulletin:
+    """Serves `events` from the number asked for; `asked` has those numbers; mute() stops it with connections open."""
+
+    def __init__(self):
+        self.events, self.asked, self.writers, self.muted, self.news = [], [], [], False, asyncio.Event()
+
+    async def open(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.beat = asyncio.create_task(self.beats())
+        return self
+
+    async def beats(self):
+        while True:
+            await asyncio.sleep(0.5)
+            for writer in () if self.muted else self.writers:
+                writer.write(b": still here\n\n")
+
+    async def serve(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        lines = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:] if line)
+        last = int(lines[b"last-event-id"])
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+        self.muted = False
+        self.writers.append(writer)
+        for event in self.events:
+            if event["no"] > last:
+                writer.write(self.text(event))
+        self.asked.append(last)
+        self.news.set()
+
+    @staticmethod
+    def text(event):
+        return f"id: {event['no']}\ndata: {json.dumps(event)}\n\n".encode()
+
+    def tell(self, event):
+        self.events.append(event)
+        for writer in () if self.muted else self.writers:
+            writer.write(self.text(event))
+
+    def cut(self):
+        """Ends all connections, as they are."""
+        writers, self.writers = self.writers, []
+        for writer in writers:
+            writer.transport.abort()
+
+    async def until_asked(self, count):
+        async with asyncio.timeout(LONG):
+            while len(self.asked) < count:
+                self.news.clear()
+                await self.news.wait()
+
+
+class Answer:
+    def __init__(self, status, headers, body):
+        self.status, self.headers, self.body = status, headers, body
+
+
+class Client:
+    """A connection to the gateway's door."""
+
+    def __init__(self, town):
+        self.town = town
+
+    async def open(self):
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.town.port)
+        return self
+
+    def send(self, data):
+        self.writer.write(data)
+
+    def call(self, number=None, **said):
+        number = number or self.town.number()
+        self.send(call(number, **said))
+        return number
+
+    async def answer(self):
+        """The next answer; None where the connection closes before it."""
+        async with asyncio.timeout(LONG):
+            try:
+                head = await self.reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return None
+            first, *rest = head.decode().split("\r\n")
+            headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in rest if line)}
+            body = await self.reader.readexactly(int(headers.get("content-length", 0)))
+            return Answer(int(first.split()[1]), headers, body)
+
+    async def closed(self):
+        """Waits until the gateway has closed; what came before."""
+        async with asyncio.timeout(LONG):
+            try:
+                return await self.reader.read()
+            except ConnectionError:
+                return b""
+
+
+def call(number, function=FUNCTION, kind="draft", customer="acme", patience="2000", more=MORE, body=b"", extra=()):
+    lines = [f"POST /call/{function}/sync HTTP/1.1", "Host: backend.local", f"X-Class: {kind}", f"X-Call-Id: {number}",
+             f"X-Patience-Ms: {patience}", f"X-Customer: {customer}", f"X-Extras: {more}",
+             f"Content-Length: {len(body)}", *extra]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Town:
+    def __init__(self, path):
+        self.path, self.hosts, self.calls, self.process, self.bulletins = path, [], 0, None, []
+
+    def number(self):
+        self.calls += 1
+        return f"{self.calls:016x}"
+
+    async def host(self, name):
+        host = await Host(name).open()
+        self.hosts.append(host)
+        return host
+
+    async def bulletin(self):
+        self.bulletins.append(await Bulletin().open())
+        return self.bulletins[-1]
+
+    def event(self, no, whole=False, **states):
+        """A bulletin's event: states of hosts by name; those that are said already keep their addresses."""
+        ports = {host.name: host.port for host in self.hosts}
+        return {"no": no, "roster": {"generation": no, "reset": whole, "instances": [
+            {"instanceId": name, "hostPort": f"127.0.0.1:{ports[name]}", "zone": "east", "machineType": "std",
+             "cell": 0, "lifecycle": state, "weight": 1, "startedAtMs": 0} for name, state in states.items()]}}
+
+    def configuration(self, **changed):
+        """Writes the configuration's file; its path."""
+        said = {"name": "n1", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+                "bulletin": f"127.0.0.1:{self.bulletins[-1].port}",
+                "known": {"no": 1, "items": [self.event(1, True, **{h.name: "in_service" for h in self.hosts})]},
+                "settings": SETTINGS} | changed
+        file = self.path / "config.json"
+        file.write_text(json.dumps(said))
+        return file
+
+    def run(self, file, **more):
+        """Starts the gateway as in service."""
+        env = {**os.environ, "PROXY_CONFIG": str(file), "PROXY_LISTEN": f"127.0.0.1:{self.port}", "PROXY_NAME": "n1"}
+        self.log = open(self.path / "log", "a+")    # noqa: SIM115
+        self.process = subprocess.Popen([sys.executable, "-m", "cherrydoor", "platform"], stdin=subprocess.DEVNULL,
+                                        stdout=self.log, stderr=self.log, env=env | more)
+
+    async def start(self, hosts=("a",), **changed):
+        """Hosts, a bulletin and a gateway that is ready."""
+        for name in hosts:
+            await self.host(name)
+        await self.bulletin()
+        with __import__("socket").socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.port = free.getsockname()[1]
+        self.run(self.configuration(**changed))
+        await self.ready()
+
+    async def ready(self):
+        async with asyncio.timeout(LONG):
+            while True:
+                assert self.process.poll() is None, self.logged()
+                try:
+                    client = await Client(self).open()
+                    client.send(b"GET /ping HTTP/1.1\r\nHost: x\r\n\r\n")
+                    if (answer := await client.answer()) and answer.status == 200:
+                        client.writer.close()
+                        return
+                except OSError:
+                    pass
+                await asyncio.sleep(0.02)
+
+    async def client(self):
+        return await Client(self).open()
+
+    async def handled(self, **said):
+        """One event on a connection of its own; its answer."""
+        client = await self.client()
+        client.call(**said)
+        answer = await client.answer()
+        client.writer.close()
+        return answer
+
+    def logged(self):
+        return (self.path / "log").read_text()
+
+    async def said(self, word):
+        """Waits until the gateway's log has this word."""
+        async with asyncio.timeout(LONG):
+            while word not in self.logged():
+                await asyncio.sleep(0.02)
+
+    def signal(self, name):
+        self.process.send_signal(getattr(signal, name))
+
+    async def ended(self):
+        async with asyncio.timeout(LONG):
+            while self.process.poll() is None:
+                await asyncio.sleep(0.02)
+        return self.process.returncode
+
+    async def close(self):
+        if self.process and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        for bulletin in self.bulletins:
+            bulletin.beat.cancel()
+            bulletin.server.close()
+        for host in self.hosts:
+            host.server.close()
