--- a/cherrydoor/platform/doors.py
+++ b/cherrydoor/platform/doors.py
@@ -103,7 +103,7 @@
     def released(self):
         """Nothing points back here any more: what has ended is freed at once, and does not wait for a collection."""
         self.arrival.end = self.arrival.task = self.arrival.caller.wire = self.transport = None
-        self.client.wire = self.arrival = None
+        self.client.wire = self.arrival = None      # type: ignore[assignment]
 
 
 class Known:
