Launches out together count as one strike, and a good answer opens a shut host

At fault: Host.strike, which added a strike for each launch that was out at the same moment, and Host.back, which ended strikes at a good answer and left the host shut, against what strike() says. Now what was sent before the last strike counts no further, and a good answer clears both. Stories for codecs and service join: codecs split at every byte, the gateway started as in service between stand-ins.

--- a/cherrydoor/codecs/invoke.py
+++ b/cherrydoor/codecs/invoke.py
@@ -79,6 +79,8 @@
         if name in said and name in ONCE:
             return Bad(400, f"{name.decode()} is said twice")
         said[name] = value
+    if sum(map(len, said.values())) > LARGEST_HEAD:
+        return Bad(431, f"a head holds {LARGEST_HEAD} bytes at most")
     if request.http_version != b"1.1":
         return Bad(505, "HTTP/1.1 is spoken here")
     if b"transfer-encoding" in said:        # beside a Content-Length it may hide a second call in the body
@@ -124,18 +126,19 @@
     found = PLAIN.match(data)
     if found is None:
         return None
-    headers = []
+    headers, host = [], False
     for line in found[4][:-2].split(b"\r\n"):
         name, _, value = line.partition(b": ")
         name = name.lower()
         if name in NOT_PLAIN or name == b"content-length" and not (value.isdigit() and len(value) < 6):
             return None
+        host |= name == b"host"
         headers.append((name, value))
     note, size = call_of(Head(found[1], found[2], found[3], headers)), 0
     for name, value in headers:
         if name == b"content-length":
             size = int(value)
-    if type(note) is Bad or len(data) != found.end() + size:
+    if not host or type(note) is Bad or len(data) != found.end() + size:
         return None
     note.body = data[found.end():]
     return note
--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -192,7 +192,7 @@
 
     def reset(self, since):
         """A process that starts anew has an empty memory and a clean slate."""
-        self.since, self.heard, self.strikes, self.shut = since, 0.0, 0, 0.0
+        self.since, self.heard, self.strikes, self.shut, self.struck = since, 0.0, 0, 0.0, 0.0
         self.passed = 0.0           # when the latest of the answered events was sent
         self.probing = self.sheds = False
         self.ears = {}              # event type -> Ear, no more than there are types
@@ -287,17 +287,20 @@
         if left or note.fate == io.HANDLED and launch.warm:     # what left unanswered tells, too
             self.pace.mean(now, note.took, 0.1, self.gate.mean())
         if note.fate == io.HANDLED:
-            self.strikes = 0
+            self.strikes, self.shut = 0, 0.0
         elif note.fate == io.FULL and launch.stood:
             self.full = Tally(now, 1.0)
         elif note.fate in (io.ERROR, io.LOST) and note.copy != 4:
-            self.strike(1, now)
+            self.strike(1, now, launch.sent)
         elif note.fate == io.NO_CONNECTION or note.fate == io.NO_ANSWER and self.heard < launch.sent:
-            self.strike(2, now)
+            self.strike(2, now, launch.sent)
 
-    def strike(self, weight, now):
-        """Bad fates in a row shut a host for a time that doubles; one good answer ends it."""
-        self.strikes += weight
+    def strike(self, weight, now, sent):
+        """Bad fates in a row shut a host for a time that doubles; one good answer ends it. What was out together
+        counts once: guards against one lost moment that shuts a host for long; harms where single launches fail."""
+        if sent < self.struck:
+            return
+        self.strikes, self.struck = self.strikes + weight, now
         if self.strikes > 1:
             self.shut = now + 250 * 2 ** min(self.strikes, 4) * (1 + self.gate.chance())
 
@@ -339,7 +342,7 @@
         if fate == io.HANDLED:
             self.heard, self.strikes, self.shut = now, 0, 0.0
         elif fate != io.FULL:
-            self.strike(2, now)
+            self.strike(2, now, now)
             for launch in self.out:
                 self.gate.post("take_back", launch)
 
--- a/cherrydoor/platform/bulletin.py
+++ b/cherrydoor/platform/bulletin.py
@@ -99,6 +99,7 @@
             return
         self.last = told.no
         self.tell(told)
+        self.shell.line("the bulletin tells", heard=told.no)
 
     def tell(self, told):
         if told.rows is None:
--- a/cherrydoor/platform/process.py
+++ b/cherrydoor/platform/process.py
@@ -79,8 +79,10 @@
             self.said[event] = at, left + 1
             return
         self.said[event] = now, 0
-        more = {"more": left} if left else {}
-        print(json.dumps({"at": round(now), "is": event, **said, **more}), file=sys.stderr, flush=True)
+        self.line(event, **said, **({"more": left} if left else {}))
+
+    def line(self, event, **said):
+        print(json.dumps({"at": round(self.clock.now()), "is": event, **said}), file=sys.stderr, flush=True)
 
     async def run(self):
         try:
@@ -177,12 +179,11 @@
     def facts(self):
         use = resource.getrusage(resource.RUSAGE_SELF)
         self.loop.call_later(FACTS, self.facts)
-        print(json.dumps({
-            "at": round(self.clock.now()), "is": "facts", "for_s": round((self.clock.now() - self.began) / 1000, 1),
-            "cpu_s": round(use.ru_utime + use.ru_stime, 2), "held_mb": round(self.uses.measure_held() / 2**20, 1),
-            "descriptors": self.uses.used(), "clients": len(self.door.ends), "links": len(self.floor.ends),
-            "events": len(self.desk.taken), "hosts": len(self.desk.hosts), "counts": dict(self.desk.counts),
-            "doors": self.hall.guard.counts}), file=sys.stderr, flush=True)
+        self.line("facts", for_s=round((self.clock.now() - self.began) / 1000, 1),
+                  cpu_s=round(use.ru_utime + use.ru_stime, 2), held_mb=round(self.uses.measure_held() / 2**20, 1),
+                  descriptors=self.uses.used(), clients=len(self.door.ends), links=len(self.floor.ends),
+                  events=len(self.desk.taken), hosts=len(self.desk.hosts), counts=dict(self.desk.counts),
+                  doors=self.hall.guard.counts)
 
     def believed(self):
         """The trace: for each host what the module holds to be so, beside what has crossed the sockets since."""
@@ -199,9 +200,8 @@
                          "full": round(host.full.read(now), 2),
                          "copies": sum(host in f.copies for f in gate.history.functions.values()),
                          "links": len(desk.links) if desk else 0, "open": open_, "crossed": traffic.get(name, {})})
-        print(json.dumps({"at": round(now), "is": "believed", "mean": round(gate.mean(), 1), "blind": gate.blind,
-                          "brisk": round(gate.brisk, 1), "load": round(gate.load), "hosts": rows}),
-              file=sys.stderr, flush=True)
+        self.line("believed", mean=round(gate.mean(), 1), blind=gate.blind, brisk=round(gate.brisk, 1),
+                  load=round(gate.load), hosts=rows)
 
 
 def main(trace=0.0):
--- /dev/null
+++ b/tests/platform/test_codecs.py
@@ -0,0 +1,172 @@
+"""The platform's wires byte by byte: whole, split anywhere, spoilt, hostile."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from town import FUNCTION, call, reply
+
+from cherrydoor.codecs import invoke, resp, sse
+
+ID = "9b1f03aa5c7e2d41"
+
+
+def note_of(data, cuts=()):
+    """The last note of a conversation that is fed these bytes."""
+    talk, note, edges = invoke.Conversation(), None, [0, *sorted(cuts), len(data)]
+    for a, b in zip(edges, edges[1:], strict=False):
+        note = talk.feed(data[a:b]) or note
+    return note
+
+
+# ---- the door
+def test_a_call_is_the_same_whole_and_split_at_every_byte():
+    data = call(ID, body=b"\x00\xffbody\r\n\r\n")
+    whole = note_of(data)
+    assert whole == invoke.Call(ID, "draft", "acme", FUNCTION, 2000.0,
+                                {"memory_mb": 512.0, "lanes": 4.0, "load_ms": 200.0}, b"\x00\xffbody\r\n\r\n")
+    assert all(note_of(data, [cut]) == whole for cut in range(1, len(data)))
+    assert note_of(data, range(1, len(data))) == whole
+
+
+@pytest.mark.parametrize("data, status", [
+    (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", 400),
+    (call(ID, function="7F3A9C21E0B4D655"), 404), (call(ID, function="7f3a"), 404), (call("12"), 400),
+    (call(ID, kind=""), 400), (call(ID, patience="-5"), 400), (call(ID, patience="nan"), 400),
+    (call(ID, patience="0"), 400), (call(ID, patience="1e9"), 400), (call(ID, more="lanes:-1"), 400),
+    (call(ID, more="lanes:0"), 400), (call(ID, more="memory_mb:99999999999"), 400), (call(ID, more="lanes"), 400),
+    (call(ID, extra=("Transfer-Encoding: chunked",)) + b"5\r\nhello\r\n0\r\n\r\n", 400),
+    (call(ID).replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"0\r\n\r\n", 411),
+    (call(ID, extra=("X-Call-Id: 00000000000000ff",)), 400), (call(ID, extra=("X-Patience-Ms: 5",)), 400),
+    (call(ID).replace(b"Content-Length: 0", b"Content-Length: -1"), 400),
+    (call(ID).replace(b"Content-Length: 0", b"Content-Length: 16385"), 413),
+    (call(ID).replace(b"Content-Length: 0", b"Content-Length: 60000000"), 413),
+    (call(ID).replace(b"Content-Length: 0", b"Content-Length: 99999999999999999999999"), 400),
+    (call(ID, extra=("Content-Length: 7",)), 400), (call(ID, extra=("X-Long: " + "x" * 9000,)), 431),
+    (call(ID).replace(b"HTTP/1.1", b"HTTP/1.0"), 505), (call(ID).replace(b"POST", b"PUT"), 405)])
+def test_what_is_no_call_is_owed_a_refusal_whole_or_split(data, status):
+    for cuts in ((), (10,), (60, 61, 200)):
+        note = note_of(data, cuts)
+        assert type(note) is invoke.Bad and note.status == status, (note, cuts)
+
+
+def test_nothing_behind_a_bad_call_is_read():
+    talk = invoke.Conversation()
+    assert type(talk.feed(call("zz"))) is invoke.Bad
+    assert talk.feed(call(ID)) is None
+    data, over = talk.answer(400, b"no")
+    assert over and b"Connection: close" in data and talk.feed(call(ID)) is None
+
+
+def test_what_is_pipelined_waits_for_the_answer_before_it():
+    talk, second = invoke.Conversation(), "00000000000000aa"
+    assert talk.feed(call(ID, body=b"one") + call(second, body=b"two")).id == ID
+    assert talk.feed(b"") is None
+    data, over = talk.answer(503, b"", 250)
+    assert not over and b"X-Come-Back-Ms: 250" in data
+    note = talk.feed(b"")
+    assert (note.id, note.body) == (second, b"two")
+
+
+def test_a_plain_call_with_another_behind_it_in_a_later_read_answers_both():
+    talk, second = invoke.Conversation(), "00000000000000aa"
+    assert talk.feed(call(ID)).id == ID and talk.http is None
+    assert talk.feed(call(second)) is None
+    assert not talk.answer(200, b"first")[1]
+    assert talk.feed(b"").id == second
+
+
+def test_what_is_pipelined_without_end_is_full():
+    talk = invoke.Conversation()
+    talk.feed(call(ID))
+    for _ in range(200):
+        talk.feed(b"x" * 200)
+    assert talk.full()
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.binary(max_size=300), st.lists(st.integers(0, 300), max_size=5))
+def test_hostile_bytes_at_the_door_end_in_a_note_never_in_an_exception(junk, cuts):
+    note = note_of(junk, [cut for cut in cuts if cut <= len(junk)])
+    assert note is None or type(note) is invoke.Bad
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.integers(0, 400), st.integers(0, 255))
+def test_one_byte_changed_at_the_door_never_makes_a_call_that_h11_would_not_read(at, byte):
+    data = bytearray(call(ID, body=b"body"))
+    data[at % len(data)] = byte
+    one, other = note_of(bytes(data)), note_of(bytes(data), [1])
+    assert one == other or type(one) is type(other) is invoke.Bad and one.status == other.status
+
+
+# ---- hosts
+def test_answers_come_out_at_every_split():
+    data = (reply(ID.encode(), b"DONE", b"tell=spawn,queue_fn=3,meter=inflight:7;util:0.61", b"\r\n*4\r\n")
+            + reply(b"o5", b"WAIT", b"copies=2"))
+    want = [resp.Answer(ID, resp.DONE, 2, 3, None, {"inflight": 7.0, "util": 0.61}, b"\r\n*4\r\n"),
+            resp.Answer("o5", resp.FULL, 0, None, 2)]
+    for step in (1, 2, 7, len(data)):
+        reader = resp.Reader()
+        found = [answer for at in range(0, len(data), step) for answer in reader.feed(data[at:at + step])]
+        assert found == want and not reader.held and not reader.spoilt
+
+
+@pytest.mark.parametrize("data", [
+    b"noise\r\n", b"*3\r\n", b"*-1\r\n", b"*4\r\n$-1\r\n", b"*4\r\n:1\r\n", b"*4\r\n$3000000000\r\n",
+    b"*4\r\n$16\r\n" + ID.encode() + b"\r\n$4\r\nDONE\r\n$1\r\n-\r\n$3000000000\r\nxxxx", b"*99999999999999999999",
+    b"*4\r\n$2\r\nabc\r\n", reply(b"a", b"FINE"), reply(b"a", b"DONE", b"queue_fn=-1"),
+    reply(b"a", b"DONE", b"tell=what"), reply(b"a", b"DONE", b"meter=util:nan"), reply(b"\xff", b"DONE")])
+def test_what_is_no_answer_spoils_the_connection_at_once_and_keeps_nothing(data):
+    reader = resp.Reader()
+    assert reader.feed(reply(b"b", b"DONE") + data) == [resp.Answer("b", resp.DONE)]
+    assert reader.spoilt and not reader.held and reader.feed(reply(b"c", b"DONE")) == []
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.binary(max_size=200))
+def test_hostile_bytes_of_a_host_never_end_in_an_exception(junk):
+    reader = resp.Reader()
+    reader.feed(junk)
+    assert reader.spoilt or len(reader.held) <= len(junk)
+
+
+def test_a_command_passes_id_class_function_and_body_on_unchanged():
+    assert resp.execute(ID, "draft", FUNCTION, 1200.9, b"\x00\r\n") == (
+        b"*4\r\n$4\r\nexec\r\n$16\r\n9b1f03aa5c7e2d41\r\n$42\r\ncls=draft,item=7f3a9c21e0b4d655,limit=1200\r\n"
+        b"$3\r\n\x00\r\n\r\n")
+
+
+# ---- the bulletin
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+EVENT = {"no": 41, "roster": {"generation": 7, "reset": False, "instances": [
+    {"instanceId": "s-1", "hostPort": "10.1.0.9:10080", "zone": "east", "machineType": "std", "cell": 2,
+     "lifecycle": "terminating", "weight": 4, "startedAtMs": 5}]}}
+
+
+def test_bulletin_events_come_out_at_every_split_and_a_torn_one_does_not():
+    text = HEAD + b": beat\n\nid: 41\ndata: " + json.dumps(EVENT).encode() + b"\n\nid: 42\ndata: {\"no\": 42"
+    for step in (1, 3, len(text)):
+        reader = sse.Reader()
+        found = [told for at in range(0, len(text), step) for told in reader.feed(text[at:at + step])]
+        assert found == [sse.Told(41, False, [sse.Entry("s-1", "10.1.0.9:10080", "draining", "east", 2, 5.0)])]
+
+
+def test_a_bulletin_in_chunks_reads_the_same():
+    data = b"data: " + json.dumps(EVENT).encode() + b"\n\n"
+    reader = sse.Reader()
+    reader.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    half = len(data) // 2
+    found = reader.feed(b"%x\r\n%b\r\n" % (half, data[:half])) + reader.feed(
+        b"%x\r\n%b\r\n" % (len(data) - half, data[half:]))
+    assert [told.no for told in found] == [41]
+
+
+@pytest.mark.parametrize("data", [
+    b"HTTP/1.1 500 No\r\n\r\n", b"\x00\x00noise\r\n\r\n", HEAD + b"data: {\"no\":\n\n", HEAD + b"data: []\n\n",
+    HEAD + b'data: {"no": 1, "roster": {"reset": true, "instances": [{"lifecycle": "asleep"}]}}\n\n',
+    HEAD + b"data: " + b"x" * (5 << 20)])
+def test_what_is_no_bulletin_is_told_as_unreadable(data):
+    with pytest.raises(sse.Unreadable):
+        sse.Reader().feed(data)
--- /dev/null
+++ b/tests/platform/test_in_service.py
@@ -0,0 +1,277 @@
+"""The gateway on the platform, started as in service, between hosts, a bulletin and clients of the test's own."""
+
+import asyncio
+
+import pytest
+from town import FUNCTION, LONG, call, reply, story
+
+from cherrydoor.platform import configuration
+
+
+async def refused_or_closed(client):
+    """What a bad client is owed: an answer that is not 200, or a close; never silence."""
+    answer = await client.answer()
+    assert answer is None or answer.status != 200
+    await client.closed()
+
+
+@story
+async def test_an_event_is_handled_with_the_hosts_own_body_and_goes_on_unchanged(town):
+    await town.start()
+    host = town.hosts[0]
+    client = await town.client()
+    for body in (b"", b"\x00\xff\r\n", b"x" * 16384):
+        number = client.call(body=body)
+        answer = await client.answer()
+        assert (answer.status, answer.body) == (200, b"body of " + number.encode())
+        words = host.commands(b"exec")[-1]
+        fields = dict(pair.split(b"=") for pair in words[2].split(b","))
+        assert words[1] == number.encode() and words[3] == body
+        assert fields[b"cls"] == b"draft" and fields[b"item"] == FUNCTION.encode()
+        assert 0 < int(fields[b"limit"]) <= 2000
+
+
+@story
+async def test_bad_calls_reach_no_host_and_usual_ones_are_served_meanwhile(town):
+    await town.start()
+    bad = [call(town.number(), kind="no-such"), call(town.number(), customer="nobody"), call("12"),
+           call(town.number(), patience="900000"), b"\x00" * 100 + b"\r\n\r\n", b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+           call(town.number(), extra=("Transfer-Encoding: chunked",)) + b"0\r\n\r\n" + call(town.number()),
+           b"POST " + b"x" * 20000, call(town.number()).replace(b"Content-Length: 0", b"Content-Length: 60000000")]
+    for data in bad:
+        client = await town.client()
+        client.send(data)
+        await refused_or_closed(client)
+    good = [await town.handled() for _ in range(3)]
+    assert [one.status for one in good] == [200] * 3
+    assert len(town.hosts[0].commands(b"exec")) == 3
+
+
+@story
+async def test_silent_and_half_said_connections_are_closed(town):
+    await town.start()
+    silent, half = await town.client(), await town.client()
+    half.send(call(town.number())[:60])
+    began = asyncio.get_running_loop().time()
+    await silent.closed()
+    await half.closed()
+    assert asyncio.get_running_loop().time() - began < LONG and not town.hosts[0].commands(b"exec")
+
+
+@story
+async def test_silent_connections_by_the_hundred_do_not_keep_usual_clients_out(town):
+    await town.start()
+    silent = [await town.client() for _ in range(300)]
+    for _ in range(5):
+        assert (await town.handled()).status == 200
+    assert len(silent) == 300
+
+
+@story
+async def test_the_id_of_an_open_event_is_not_taken_again(town):
+    await town.start()
+    host = town.hosts[0]
+    host.answers = lambda words: None
+    first, second = await town.client(), await town.client()
+    number = first.call(body=b"one")
+    await host.until(b"exec")
+    second.call(number, body=b"two")
+    assert (await second.answer()).status == 409
+    host.writers[0].write(reply(number.encode(), b"DONE", b"tell=hit", b"fine"))
+    assert (await first.answer()).body == b"fine"
+    assert [words[3] for words in host.commands(b"exec")] == [b"one"]
+
+
+@story
+async def test_a_client_that_closes_has_given_up_and_its_launch_is_dropped(town):
+    await town.start()
+    host = town.hosts[0]
+    host.answers = lambda words: None
+    client = await town.client()
+    number = client.call()
+    await host.until(b"exec")
+    client.writer.close()
+    assert (await host.until(b"drop"))[1] == number.encode()
+
+
+@story
+async def test_a_spoilt_answer_ends_its_connection_alone_and_the_event_is_launched_elsewhere(town):
+    await town.start(("a", "b"))
+    for host in town.hosts:
+        def spoils(words, host=host):
+            others = [one for one in town.hosts if one is not host]
+            if words[0] == b"exec" and not others[0].commands(b"exec"):
+                return b"*4\r\n$16\r\n" + words[1] + b"\r\n$4\r\nDONE\r\n$1\r\n-\r\n$3000000000\r\n" + b"x" * 5000
+            return host.handles(words)
+        host.answers = spoils
+    assert (await town.handled()).status == 200
+    await town.said("a word of 3000000000 bytes")
+    assert all(host.commands(b"exec") for host in town.hosts)
+
+
+@story
+async def test_an_answer_that_stops_short_is_not_waited_for(town):
+    await town.start(("a", "b"))
+    for host in town.hosts:
+        def stops(words, host=host):
+            whole = host.handles(words)
+            other = next(one for one in town.hosts if one is not host)
+            return whole[:-5] if words[0] == b"exec" and not other.commands(b"exec") else whole
+        host.answers = stops
+    assert (await town.handled()).status == 200
+    await town.said("an answer stops short")
+
+
+@story
+async def test_a_second_copy_and_an_unknown_id_in_front_are_passed_over(town):
+    await town.start()
+    host = town.hosts[0]
+
+    def more(words):
+        good = host.handles(words)
+        return reply(b"00000000000000ee", b"DONE", b"-", b"not yours") + good + good if words[0] == b"exec" else good
+    host.answers = more
+    client = await town.client()
+    for _ in range(3):
+        number = client.call()
+        assert (await client.answer()).body == b"body of " + number.encode()
+    assert len(host.writers) == 1
+
+
+@story
+async def test_a_host_that_cannot_be_reached_is_left_for_another(town):
+    await town.start(("a", "b"))
+    town.hosts[0].server.close()
+    for writer in town.hosts[0].writers:
+        writer.close()
+    answers = [await town.handled(function=f"{n:016x}") for n in range(8)]
+    assert [one.status for one in answers] == [200] * 8
+
+
+@story
+async def test_what_the_module_gives_up_on_is_answered_at_once_with_when_to_come_back(town):
+    await town.start()
+    host = town.hosts[0]
+    host.answers = lambda words: reply(words[1], b"WAIT") if words[0] == b"exec" else None
+    answer = await town.handled()
+    assert answer.status == 503 and 0 < int(answer.headers["x-come-back-ms"]) <= 1000
+
+
+@story
+async def test_an_event_without_an_answer_is_answered_before_its_time_is_up(town):
+    await town.start()
+    town.hosts[0].answers = lambda words: None
+    began = asyncio.get_running_loop().time()
+    answer = await town.handled(patience="700")
+    assert answer.status in (502, 503) and asyncio.get_running_loop().time() - began < LONG
+
+
+@story
+async def test_a_draining_host_gets_nothing_more_and_a_new_host_at_an_old_address_is_another(town):
+    await town.start(("a", "b"))
+    a, b = town.hosts
+    town.bulletins[0].tell(town.event(2, a="terminating"))
+    await town.until_told(2)
+    before = len(a.commands(b"exec"))
+    for n in range(6):
+        assert (await town.handled(function=f"{n:016x}")).status == 200
+    assert len(a.commands(b"exec")) == before and len(b.commands(b"exec")) >= 6
+    gone = town.event(3, a="terminated", b="terminating")
+    new = town.event(3, a="in_service")["roster"]["instances"][0] | {"instanceId": "c"}
+    gone["roster"]["instances"].append(new)
+    town.bulletins[0].tell(gone)
+    await town.until_told(3)
+    assert (await town.handled()).status == 200 and len(a.commands(b"exec")) > before
+
+
+@story
+async def test_a_bulletin_that_breaks_off_falls_silent_or_doubles_is_asked_for_what_is_missing(town):
+    await town.start(("a", "b"))
+    bulletin = town.bulletins[0]
+    await bulletin.until_asked(1)
+    bulletin.tell(town.event(2, a="terminating"))
+    await town.until_told(2)
+    for writer in bulletin.writers:
+        writer.write(bulletin.text(town.event(2, a="in_service")))      # its number has been told
+        writer.write(b"id: 3\ndata: {\"no\": 3, \"ros")                 # torn
+    bulletin.events.append(town.event(3, b="in_service"))
+    bulletin.cut()
+    await bulletin.until_asked(2)
+    await town.until_told(3)
+    bulletin.muted = True
+    bulletin.events.append(town.event(4, b="in_service"))
+    await bulletin.until_asked(3)
+    await town.until_told(4)
+    assert bulletin.asked == [1, 2, 3]
+    assert (await town.handled()).status == 200 and not town.hosts[0].commands(b"exec")
+
+
+@story
+async def test_sighup_moves_to_another_bulletin_with_numbers_going_on_and_a_bad_file_is_left(town):
+    await town.start(("a", "b"))
+    old = town.bulletins[0]
+    await old.until_asked(1)
+    old.tell(town.event(2, a="terminating"))
+    await town.until_told(2)
+    (town.path / "config.json").write_text("{")
+    town.signal("SIGHUP")
+    await town.said("the old one is kept")
+    new = await town.bulletin()
+    new.events.append(town.event(3, a="in_service", b="terminating"))
+    town.configuration()
+    town.signal("SIGHUP")
+    await new.until_asked(1)
+    await town.until_told(3)
+    assert new.asked == [2]
+    assert (await town.handled()).status == 200 and town.hosts[0].commands(b"exec")
+
+
+@story
+async def test_sigterm_serves_those_who_still_come_then_closes_the_door_and_ends(town):
+    await town.start()
+    host = town.hosts[0]
+    host.answers = lambda words: None
+    held, idle = await town.client(), await town.client()
+    number = held.call()
+    await host.until(b"exec")
+    town.signal("SIGTERM")
+    await town.said("leaving")
+    late = await town.client()
+    other = late.call()
+    await host.until(b"exec", 2)
+    await idle.closed()         # the door is closed now
+    for writer in host.writers:
+        writer.write(reply(number.encode(), b"DONE") + reply(other.encode(), b"DONE"))
+    assert (await held.answer()).status == (await late.answer()).status == 200
+    assert await town.ended() == 0
+
+
+@story
+async def test_a_fault_in_the_decisions_answers_what_is_open_and_begins_anew(town):
+    platform = await town.start_within()
+    host = town.hosts[0]
+    host.answers = lambda words: None
+    client = await town.client()
+    client.call()
+    await host.until(b"exec")
+
+    def fails(now, note):
+        raise ZeroDivisionError("a fault of the test")
+    platform.desk.gate.take = fails
+    (await town.client()).call(function=f"{5:016x}")
+    assert (await client.answer()).status == 502
+    host.answers = host.handles
+    assert (await town.handled()).status == 200 and platform.desk.counts["started anew"] == 1
+
+
+@pytest.mark.parametrize("changed, place", [
+    ({"seed": 5}, "seed"), ({"listen": "nowhere"}, "listen"), ({"limits": {"cores": 1.0, "memory_mb": 64}},
+                                                               "limits.sockets"),
+    ({"known": {"no": 1}}, "known.items"), ({"bulletin": ""}, "bulletin"), ({"settings": {}}, "settings"),
+    ({"settings": {"me": 0, "instances": 1, "requestClasses": [{"name": "draft"}]}}, "settings: 'aim' is missing")])
+def test_a_wrong_configuration_ends_the_start_with_the_keys_place(changed, place):
+    said = {"name": "n1", "listen": "127.0.0.1:1", "seed": "8c", "bulletin": "127.0.0.1:2",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "known": {"no": 0, "items": []},
+            "settings": {"me": 0, "instances": 1, "requestClasses": []}}
+    with pytest.raises(configuration.Wrong, match=place):
+        configuration.Station(said | changed, None, 1024)
--- a/tests/platform/town.py
+++ b/tests/platform/town.py
@@ -5,10 +5,14 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from functools import wraps
 
+from cherrydoor.platform import configuration
+from cherrydoor.platform.process import Platform
+
 LONG = 20.0         # s after which a test that waits for something has failed
 MORE = "memory_mb:512;lanes:4;load_ms:200"
 FUNCTION = "7f3a9c21e0b4d655"
@@ -35,7 +39,7 @@
             finally:
                 await town.close()
         asyncio.run(whole())
-    run.__signature__ = __import__("inspect").signature(lambda tmp_path: None)
+    del run.__wrapped__         # pytest hands it a folder, not a town
     return run
 
 
@@ -198,6 +202,7 @@
 class Town:
     def __init__(self, path):
         self.path, self.hosts, self.calls, self.process, self.bulletins = path, [], 0, None, []
+        self.within = None
 
     def number(self):
         self.calls += 1
@@ -237,21 +242,33 @@
         self.process = subprocess.Popen([sys.executable, "-m", "cherrydoor", "platform"], stdin=subprocess.DEVNULL,
                                         stdout=self.log, stderr=self.log, env=env | more)
 
-    async def start(self, hosts=("a",), **changed):
-        """Hosts, a bulletin and a gateway that is ready."""
+    async def built(self, hosts):
         for name in hosts:
             await self.host(name)
         await self.bulletin()
-        with __import__("socket").socket() as free:
+        with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
             self.port = free.getsockname()[1]
+
+    async def start(self, hosts=("a",), **changed):
+        """Hosts, a bulletin and a gateway that is ready."""
+        await self.built(hosts)
         self.run(self.configuration(**changed))
         await self.ready()
 
+    async def start_within(self, hosts=("a",), **changed):
+        """The same with the gateway on the test's own loop; it is what comes back."""
+        await self.built(hosts)
+        file = self.configuration(**changed)
+        self.within = Platform(configuration.read(file, None, 1024), file)
+        self.task = asyncio.create_task(self.within.run())
+        await self.ready()
+        return self.within
+
     async def ready(self):
         async with asyncio.timeout(LONG):
             while True:
-                assert self.process.poll() is None, self.logged()
+                assert self.process is None or self.process.poll() is None, self.logged()
                 try:
                     client = await Client(self).open()
                     client.send(b"GET /ping HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -282,6 +299,10 @@
             while word not in self.logged():
                 await asyncio.sleep(0.02)
 
+    async def until_told(self, no):
+        """Waits until the gateway has heard this event of the bulletin: it says so."""
+        await self.said(f'"heard": {no}')
+
     def signal(self, name):
         self.process.send_signal(getattr(signal, name))
 
@@ -295,6 +316,9 @@
         if self.process and self.process.poll() is None:
             self.process.kill()
             self.process.wait()
+        if self.within:
+            self.within.end(0)
+            await self.task
         for bulletin in self.bulletins:
             bulletin.beat.cancel()
             bulletin.server.close()
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -198,3 +198,25 @@
         if event in fleet.sent:
             fleet.answer(event, took=4000.0 if fleet.sent[event] == ["a"] else 50.0)
     assert fleet.gate.mean() < 0.75 * 500.0
+
+
+def test_launches_that_are_lost_together_shut_a_host_no_longer_than_one():
+    shut = []
+    for count in (1, 6):
+        fleet = Fleet("a")
+        events = [fleet.event()[0] for _ in range(count)]
+        for event in events:
+            fleet.answer(event, fate=io.NO_CONNECTION, later=10.0)
+        shut.append(fleet.gate.hosts["a"].strikes)
+    assert shut[0] == shut[1] == 2
+
+
+def test_a_good_answer_opens_a_host_that_was_shut():
+    fleet = Fleet("ab")
+    out = [fleet.event()[0] for _ in range(4)]
+    host = fleet.sent[out[0]][0]
+    at = [event for event in out if fleet.sent[event][0] == host]
+    fleet.answer(at[0], fate=io.NO_CONNECTION, later=10.0)
+    assert fleet.gate.hosts[host].shut > fleet.now
+    fleet.answer(at[1], later=10.0)
+    assert fleet.gate.hosts[host].shut <= fleet.now and not fleet.gate.hosts[host].strikes
