A launch cut by a client that waits for little is no strike against its host

Guess two, recalls by the module: a probe found none; 148 launches were out when the client's time was up. A probe of X-Patience-Ms: half of the calls there wait for 100 ms in place of 1200.

--- a/cherrydoor/gateway/desk.py
+++ b/cherrydoor/gateway/desk.py
@@ -57,6 +57,7 @@
 
     def __init__(self, host, now):
         self.host, self.state, self.wire, self.out, self.waiting, self.used = host, DIALING, None, {}, [], now
+        self.heard = now        # when last something was answered on it, or it came up
 
     def write(self, message):
         if self.state == OPEN:
@@ -209,6 +210,7 @@
             return
         for sent in taken.launches:
             if sent.fate is None:
+                self.counts["launches out when the client's time was up"] += 1
                 self.cut(sent, io.NO_ANSWER)
         self.tell()
         if not taken.over:      # guards rule 1 against a module that forgets; counted, for it should never be
@@ -247,6 +249,7 @@
         if taken is None or not 0 <= action.launch < len(taken.launches) or taken.streams:
             self.counts["recalls of what is over"] += 1
             return
+        self.counts["launches recalled"] += 1
         self.cut(taken.launches[action.launch], io.RECALLED)
 
     def defer(self, action):
@@ -308,7 +311,7 @@
     def linked(self, link, wire):
         if link.state != DIALING:       # it timed out in the meantime
             return wire.close("")
-        link.state, link.wire = OPEN, wire
+        link.state, link.wire, link.heard = OPEN, wire, self.now
         waiting, link.waiting = link.waiting, []
         for message in waiting:
             if link.host.row.state == "ready":
@@ -347,7 +350,7 @@
 
     def heard(self, link, message):
         """Whatever a host answers; only what is out on this very link counts."""
-        link.used = self.now
+        link.used = link.heard = self.now
         sent = link.out.get(message.id)
         kind = sent and sent.kind
         if kind is io.Outcome and type(message) is m.Outcome:
@@ -377,6 +380,18 @@
         elif launch:
             link.write(m.Recall(sent.id))
         self.done(sent, fate)
+        if link.state == OPEN and self.now - max(sent.at, link.heard) >= self.terms.silence:
+            self.silent(link.host, sent.at)
+
+    def silent(self, host, since):
+        """Closes the host's unused links on which nothing was heard since then. Guards against connections that a cut
+        network leaves open and dead, where each launch would be lost anew; harms where a host is only slow: it is
+        dialled again."""
+        for link in [ln for ln in host.links if ln.state == OPEN and not ln.out and ln.heard <= since]:
+            self.counts["links closed over their silence"] += 1
+            link.state = SHUT
+            host.links.remove(link)
+            link.wire.close("")
 
     def done(self, sent, fate, message=None):
         """The one place where a launch, probe or order ends; an end that comes twice is ignored."""
--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -273,6 +273,7 @@
 
     def back(self, launch, note, now):
         self.out.pop(launch, None)
+        long = note.took > self.patience(launch)        # before what it teaches of the mean
         if note.fate in (io.HANDLED, io.FULL, io.ERROR, io.MISSING):
             held = max(self.others.read(now), note.crowd or 0) if note.held is None else note.held
             self.heard, self.others = now, Tally(now, max(0.0, held - len(self.out)), 2 * WINDOW)
@@ -292,28 +293,33 @@
             self.full = Tally(now, 1.0)
         elif note.fate in (io.ERROR, io.LOST) and note.copy != 4:
             self.strike(1, now, launch.sent)
-        elif note.fate == io.NO_CONNECTION or note.fate == io.NO_ANSWER and self.heard < launch.sent:
+        elif note.fate == io.NO_CONNECTION or note.fate == io.NO_ANSWER and (
+                long and self.heard < launch.sent):
             self.strike(2, now, launch.sent)
 
     def strike(self, weight, now, sent):
-        """Bad fates in a row shut a host for a time that doubles; one good answer ends it. What was out together
-        counts once: guards against one lost moment that shuts a host for long; harms where single launches fail."""
+        """Bad fates in a row shut a host for a time that doubles; one good answer ends it. What was out
+        together counts once: guards against a host long shut for one moment; harms where single ones fail."""
         if sent < self.struck:
             return
         self.strikes, self.struck = self.strikes + weight, now
         if self.strikes > 1:
             self.shut = now + 250 * 2 ** min(self.strikes, 4) * (1 + self.gate.chance())
 
+    def patience(self, launch):
+        """Silence that tells of the host. Guards against clients that wait for less, whose launches are cut
+        while the host works; harms where all do: a dead host is then found by refused connections alone."""
+        return max(250.0, 4 * self.mean()) + (0 if launch.stood else 3 * self.gate.load)
+
     def sweep(self, now):
         """Silence shows a host that stalls or is cut off: it is probed, else its events are taken back.
         Answers to other event types show no more than that it runs: each type has an ear of its own."""
-        patience = max(250.0, 4 * self.mean())
         for launch in self.out:
             ear = self.ears.setdefault(launch.evt.clause.name, Ear())
             if not launch.evt.streams and self.unheard(launch, ear, now):
                 self.strike_ear(launch, ear, now)
                 self.gate.post("take_back", launch)
-        silent = any(now - max(sent, self.heard) > patience + (0 if launch.stood else 3 * self.gate.load)
+        silent = any(now - max(sent, self.heard) > self.patience(launch)
                      for launch, sent in self.out.items() if not launch.evt.streams)
         ask = not self.probing and (silent or self.strikes > 1 and self.shut <= now)
         if ask and self.gate.deed.probes:
--- a/cherrydoor/platform/configuration.py
+++ b/cherrydoor/platform/configuration.py
@@ -8,7 +8,7 @@
 from cherrydoor.gateway.turn import address
 
 RESERVE = 12                # descriptors of the process itself: listener, bulletin, loop, what it reads of its use
-SPARE = 25.0                # ms taken off each event's time, for the answer's way back
+SPARE = 5.0                 # ms taken off each event's time, for the answer's way back; some clients wait for 100
 SILENT = 2000.0             # ms for which a connection may say nothing whole; bad clients are owed an end within 3 s
 IDLE = 500.0                # ms after a fifth of which an idle connection makes room where places are short: a client
                             # whose event crosses the close sends it again
@@ -52,6 +52,7 @@
 
         self.spare, self.per_link, self.links, self.tells = SPARE, 1, links, tells
         self.most_open, self.connect = may.get("mostHeld", 20000), ms(may, "connectTimeout", 250.0)
+        self.silence = self.connect
         self.idle = 0.6 * ms(may, "connIdle", 15000.0)      # before the host closes it under a launch
         self.probe, self.order = ms(may, "connectTimeout", 250.0), ms(copies, "loadWait", 10000.0)
         self.stay = min(200.0, ms(may, "maxRetryAfter", 0.0)) if may.get("retryAfter") else 0.0
--- a/tests/platform/test_in_service.py
+++ b/tests/platform/test_in_service.py
@@ -176,6 +176,20 @@
     assert [one.status for one in answers] == [200] * 8
 
 
+@story
+async def test_a_connection_that_left_a_launch_without_a_word_is_not_used_again(town):
+    await town.start()
+    host = town.hosts[0]
+    assert (await town.handled()).status == 200
+    dead = {0}                  # what was open is silent for good, as after a cut; what comes up anew is well
+    host.answers = lambda words: None if host.got[-1][0] in dead else host.handles(words)
+    assert (await town.handled(patience="900")).status != 200
+    async with asyncio.timeout(LONG):
+        while (await town.handled(patience="900")).status != 200:
+            await asyncio.sleep(0.05)
+    assert len([n for n, words in host.got if n in dead and words[0] == b"exec"]) == 2
+
+
 @story
 async def test_what_the_module_gives_up_on_is_answered_at_once_with_when_to_come_back(town):
     await town.start()
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -220,3 +220,12 @@
     assert fleet.gate.hosts[host].shut > fleet.now
     fleet.answer(at[1], later=10.0)
     assert fleet.gate.hosts[host].shut <= fleet.now and not fleet.gate.hosts[host].strikes
+
+
+def test_a_launch_cut_by_a_client_that_waits_for_little_is_no_strike_and_a_long_silence_is():
+    for took, strikes in ((100.0, 0), (2500.0, 2)):
+        fleet = Fleet("a")
+        fleet.handle()
+        event, _ = fleet.event(later=10.0)
+        fleet.answer(event, fate=io.NO_ANSWER, took=took, over=True, later=took)
+        assert fleet.gate.hosts["a"].strikes == strikes
