Hosts that are listed later share the same descriptors

Read again: connections to one host were divided by the hosts known at the start; with twice as many the process could reach its limit. The share follows the list now.

--- a/cherrydoor/platform/configuration.py
+++ b/cherrydoor/platform/configuration.py
@@ -91,14 +91,18 @@
         need(self.lease.clauses, "settings.requestClasses", "at least one", "none")
         self.longest = max(clause.max_age for clause in self.lease.clauses)
         self.patience = FARTHEST * self.longest
-        hosts = max(1, sum(row.state != sse.GONE for row in self.known_rows()))
-        places, porch, links = seats(sockets, RESERVE, hosts)
+        places, porch, _ = seats(sockets, RESERVE, 1)
         self.descriptors = sockets
-        self.terms = Terms(said.get("permissions", {}), said.get("familyInfo", {}), links,
+        self.terms = Terms(said.get("permissions", {}), said.get("familyInfo", {}), 1,
                            (self.lease.tells_copy, self.lease.tells_crowd))
+        self.fit(sum(row.state != sse.GONE for row in self.known_rows()))
         self.manners = Manners(places, (), 1e6, 1e6, 1e6, 1e6, SILENT, SILENT, IDLE, stranger_bytes=8 << 20,
                                seed=seed, parts=(1, 1, 1), porch=porch)
 
+    def fit(self, hosts):
+        """So many hosts share the descriptors that are theirs from now on."""
+        self.terms.links = seats(self.descriptors, RESERVE, hosts)[2]
+
     def changes(self, said):
         """(the last number, what the known items tell)."""
         known = said.get("known")
--- a/cherrydoor/platform/links.py
+++ b/cherrydoor/platform/links.py
@@ -133,6 +133,7 @@
     def listed(self, how, rows, places):
         self.places.update(places)
         self.shell.desk.listed(how, rows)
+        self.shell.station.fit(sum(host.row.state != "gone" for host in self.shell.desk.hosts.values()))
         if len(self.places) > 2 * len(self.shell.desk.hosts) + 16:
             self.places = {name: at for name, at in self.places.items() if name in self.shell.desk.hosts}
 
--- a/tests/platform/test_in_service.py
+++ b/tests/platform/test_in_service.py
@@ -306,6 +306,19 @@
     assert (await town.handled()).status == 200 and platform.desk.counts["started anew"] == 1
 
 
+@story
+async def test_more_hosts_share_the_same_descriptors(town):
+    platform = await town.start_within(("a",), limits={"cores": 1.0, "memory_mb": 64, "sockets": 128})
+    before = platform.station.terms.links
+    for name in "bcdefghijkl":
+        await town.host(name)
+    town.bulletins[0].tell(town.event(2, **{host.name: "in_service" for host in town.hosts}))
+    async with asyncio.timeout(LONG):
+        while len(platform.desk.hosts) < 12:
+            await asyncio.sleep(0.02)
+    assert before == 12 and 1 <= platform.station.terms.links < 4
+
+
 @pytest.mark.parametrize("changed, place", [
     ({"seed": 5}, "seed"), ({"listen": "nowhere"}, "listen"), ({"limits": {"cores": 1.0, "memory_mb": 64}},
                                                                "limits.sockets"),
