--- a/tests/platform/test_in_service.py
+++ b/tests/platform/test_in_service.py
@@ -306,6 +306,29 @@
     assert (await town.handled()).status == 200 and platform.desk.counts["started anew"] == 1
 
 
+@story
+async def test_what_waits_for_a_connection_does_not_go_out_once_its_host_drains(town):
+    platform, dialled, written = await town.start_within(), [], []
+    platform.desk.dial, platform.station.terms.connect = dialled.append, 60000.0
+
+    class Wire:
+        def write(self, message):
+            written.append(message)
+
+        def close(self, reason):
+            pass
+    client = await town.client()
+    client.call()
+    async with asyncio.timeout(LONG):
+        while not dialled:
+            await asyncio.sleep(0.01)
+        town.bulletins[0].tell(town.event(2, a="terminating"))
+        while platform.desk.hosts["a"].row.state == "ready":
+            await asyncio.sleep(0.01)
+    platform.post(platform.desk.linked, dialled[0], Wire())
+    assert (await client.answer()).status == 503 and not written
+
+
 @story
 async def test_more_hosts_share_the_same_descriptors(town):
     platform = await town.start_within(("a",), limits={"cores": 1.0, "memory_mb": 64, "sockets": 128})
