Launches share connections where a handshake has a price, until what was sent bears it

Ruled out: refused or failed connections (16 of 25,000). At fault: Desk.send opens a connection for each launch while there are places, since one a launch guards against spoilt answers; and connections close after 0.6 of the stated idle time plus a quarter of that until they are looked at.

Now a further connection beside a busy one is opened once a hundredth of what the host was sent bears the stated price of a handshake; with no price, or much traffic a host, it is as before. One on which something was given up without a word gets nothing new until it has a word. Idle ones close after 0.8 of the stated time, looked at each tenth.

--- a/cherrydoor/gateway/desk.py
+++ b/cherrydoor/gateway/desk.py
@@ -14,6 +14,7 @@
 from cherrydoor.versions import decide as v
 
 DIALING, OPEN, SHUT = "dialing", "open", "shut"
+HANDSHAKES = 0.01       # of the worth of what a host has carried may have gone into connections beside the first
 
 
 class Client:
@@ -58,6 +59,7 @@
     def __init__(self, host, now):
         self.host, self.state, self.wire, self.out, self.waiting, self.used = host, DIALING, None, {}, [], now
         self.heard = now        # when last something was answered on it, or it came up
+        self.mute = False       # something was given up on it without a word; it gets nothing new until it has one
 
     def write(self, message):
         if self.state == OPEN:
@@ -71,6 +73,7 @@
 
     def __init__(self, row):
         self.id, self.row, self.links, self.since = row.host, row, [], row.since
+        self.carried = 0        # launches, probes and orders sent there
 
 
 class Desk:
@@ -89,7 +92,7 @@
                       io.DeadLetter: self.dead_letter, io.Ring: self.ring, io.Probe: self.probe,
                       io.Order: self.order, io.Subscribe: self.subscribe, io.Log: self.log}
         self.carry_out(gate.start(now))
-        self.alarm(now + terms.idle / 4, self.tidy)
+        self.alarm(now + terms.idle / 10, self.tidy)
 
     # ---- the turn
     def post(self, what, *args):
@@ -297,14 +300,19 @@
 
     # ---- the floor
     def send(self, host, sent, message):
-        """On the first link with room; a further one is opened up to the bound, then they are shared."""
-        link = next((ln for ln in host.links if len(ln.out) < self.terms.per_link), None)
-        if link is None and len(host.links) < self.terms.links:
+        """On the first link with room; a further one is opened up to the bound and as far as what the host has carried
+        bears it, then they are shared. Guards against hundreds of gateways that open connections which each serve
+        once; harms where a connection that ends takes other launches with it: one that has carried little."""
+        host.carried += 1
+        links = [ln for ln in host.links if not ln.mute]
+        link = next((ln for ln in links if len(ln.out) < self.terms.per_link), None)
+        borne = HANDSHAKES * host.carried >= self.terms.handshake * len(links)
+        if link is None and borne and len(host.links) < self.terms.links:
             link = Link(host, self.now)
             host.links.append(link)
             self.alarm(self.now + self.terms.connect, self.connect_timed_out, link)
             self.dial(link)
-        link = link or min(host.links, key=lambda ln: len(ln.out))
+        link = link or min(links or host.links, key=lambda ln: len(ln.out))
         sent.link, link.out[sent.id], link.used = link, sent, self.now
         link.write(message)
 
@@ -351,6 +359,7 @@
     def heard(self, link, message):
         """Whatever a host answers; only what is out on this very link counts."""
         link.used = link.heard = self.now
+        link.mute = False
         sent = link.out.get(message.id)
         kind = sent and sent.kind
         if kind is io.Outcome and type(message) is m.Outcome:
@@ -381,6 +390,7 @@
             link.write(m.Recall(sent.id))
         self.done(sent, fate)
         if link.state == OPEN and self.now - max(sent.at, link.heard) >= self.terms.silence:
+            link.mute = True
             self.silent(link.host, sent.at)
 
     def silent(self, host, since):
@@ -435,7 +445,7 @@
 
     def tidy(self):
         """Closes idle links and forgets hosts that are gone and unlinked."""
-        self.alarm(self.now + self.terms.idle / 4, self.tidy)
+        self.alarm(self.now + self.terms.idle / 10, self.tidy)
         for host in list(self.hosts.values()):
             gone = host.row.state == "gone"
             for link in list(host.links):
--- a/cherrydoor/lease/figures.py
+++ b/cherrydoor/lease/figures.py
@@ -47,6 +47,7 @@
 
     spare: taken off each client's time, for the way back;  most_open: events held, more are deferred untaken;
     per_link: launches on one connection before another is opened;  links: connections to one host, then they share;
+    handshake: price of a new connection, in events' worth: a further one is opened as far as what was sent bears it;
     connect: a connection not up by then failed;  idle: an unused one is closed;  probe, order: longest wait for these;
     silence: a launch, probe or order cut after so long without a word on its link closes it, if nothing else is out;
     stay: advice with what is refused untaken;  tells: whether hosts' answers tell of copies, and of the crowd.
@@ -54,10 +55,10 @@
 
     def __init__(self, spare=50.0, most_open=20000, per_link=100, links=4, connect=250.0, idle=15000.0,
                  probe=250.0, order=10000.0, stay=200.0, tells=(True, True),
-                 silence=inf):
+                 silence=inf, handshake=0.0):
         self.spare, self.most_open, self.per_link, self.links, self.silence = spare, most_open, per_link, links, silence
         self.connect, self.idle, self.probe, self.order, self.stay = connect, idle, probe, order, stay
-        self.tells = tells
+        self.tells, self.handshake = tells, handshake
 
 
 class Figures:
--- a/cherrydoor/platform/configuration.py
+++ b/cherrydoor/platform/configuration.py
@@ -44,18 +44,20 @@
 
 class Terms:
     """What bounds the desk, by the names that gateway/desk.py goes by. One launch a connection while there are
-    connections left: what spoils one then ends no other launch."""
+    connections left, and where a handshake has a price, while what the host has carried bears it: what spoils one then
+    ends no other launch."""
 
-    def __init__(self, may, copies, links, tells):
+    def __init__(self, may, copies, handshake, links, tells):
         def ms(said, name, otherwise):
             return said.get(name, otherwise * 1000) / 1000
 
         self.spare, self.per_link, self.links, self.tells = SPARE, 1, links, tells
         self.most_open, self.connect = may.get("mostHeld", 20000), ms(may, "connectTimeout", 250.0)
         self.silence = self.connect
-        self.idle = 0.6 * ms(may, "connIdle", 15000.0)      # before the host closes it under a launch
+        self.idle = 0.8 * ms(may, "connIdle", 15000.0)      # looked at each tenth: before the host closes it
         self.probe, self.order = ms(may, "connectTimeout", 250.0), ms(copies, "loadWait", 10000.0)
         self.stay = min(200.0, ms(may, "maxRetryAfter", 0.0)) if may.get("retryAfter") else 0.0
+        self.handshake = handshake
 
 
 class Station:
@@ -88,12 +90,15 @@
             raise Wrong(f"settings: {error} is missing") from None
         except (TypeError, ValueError, AttributeError, wire.BadLine) as error:
             raise Wrong(f"settings: {error}") from None
+        prices = said.get("prices", {})
+        need(isinstance(prices, dict), "settings.prices", "an object", prices)
+        handshake = number({"handshake": 0.0} | prices, "handshake", "settings.prices", 0.0)
         need(self.lease.clauses, "settings.requestClasses", "at least one", "none")
         self.longest = max(clause.max_age for clause in self.lease.clauses)
         self.patience = FARTHEST * self.longest
         places, porch, _ = seats(sockets, RESERVE, 1)
         self.descriptors = sockets
-        self.terms = Terms(said.get("permissions", {}), said.get("familyInfo", {}), 1,
+        self.terms = Terms(said.get("permissions", {}), said.get("familyInfo", {}), handshake, 1,
                            (self.lease.tells_copy, self.lease.tells_crowd))
         self.fit(sum(row.state != sse.GONE for row in self.known_rows()))
         self.manners = Manners(places, (), 1e6, 1e6, 1e6, 1e6, SILENT, SILENT, IDLE, stranger_bytes=8 << 20,
--- a/tests/platform/test_in_service.py
+++ b/tests/platform/test_in_service.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from town import FUNCTION, LONG, call, reply, story
+from town import FUNCTION, LONG, SETTINGS, call, reply, story
 
 from cherrydoor.platform import configuration
 
@@ -190,6 +190,20 @@
     assert len([n for n, words in host.got if n in dead and words[0] == b"exec"]) == 2
 
 
+@pytest.mark.parametrize("price, most", [(0.0, 6), (0.08, 1), (0.02, 4)])
+def test_where_a_handshake_has_a_price_launches_share_connections_until_these_have_borne_it(tmp_path, price, most):
+    @story
+    async def shared(town):
+        await town.start(settings=SETTINGS | {"prices": {"handshake": price}})
+        host, clients = town.hosts[0], [await town.client() for _ in range(6)]
+        host.answers = lambda words: None
+        for client in clients:
+            client.call()
+        await host.until(b"exec", 6)
+        assert len({number for number, words in host.got if words[0] == b"exec"}) == most
+    shared(tmp_path)
+
+
 @story
 async def test_what_the_module_gives_up_on_is_answered_at_once_with_when_to_come_back(town):
     await town.start()
@@ -346,6 +360,7 @@
     ({"seed": 5}, "seed"), ({"listen": "nowhere"}, "listen"), ({"limits": {"cores": 1.0, "memory_mb": 64}},
                                                                "limits.sockets"),
     ({"known": {"no": 1}}, "known.items"), ({"bulletin": ""}, "bulletin"), ({"settings": {}}, "settings"),
+    ({"settings": SETTINGS | {"prices": {"handshake": "dear"}}}, "settings.prices.handshake"),
     ({"settings": {"me": 0, "instances": 1, "requestClasses": [{"name": "draft"}]}}, "settings: 'aim' is missing")])
 def test_a_wrong_configuration_ends_the_start_with_the_keys_place(changed, place):
     said = {"name": "n1", "listen": "127.0.0.1:1", "seed": "8c", "bulletin": "127.0.0.1:2",
