The crowd of a function stands in for a report in the time that one event takes

Ruled out: the answer times of the host (they lag, as each gateway hears of a host every few seconds) and own events out (T2 is never reached by one of 200). At fault: Gateway.landed learns the time of one event only `if note.held is not None`, so `each` stays 0 and Host.wait and Host.busy multiply the load by it.

Now the crowd is taken where no report comes, of warm answers only: a load's time is not the work's.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -590,9 +590,13 @@
     def landed(self, evt, launch, note):
         if note.fate == io.HANDLED:
             self.handled.add(self.now, 1.0)
-            if note.held is not None:
+            # Where no report is told, the crowd of the function is the least that was there. Guards against
+            # hosts that look in time however many wait; harms where other functions fill a host: one then
+            # seems to take longer than it does. The time of a load would pass for the work's.
+            held = note.crowd if note.held is None else note.held
+            if held is not None and launch.warm:
                 fade = 1 - 1 / FADED
-                self.waited, self.met = fade * self.waited + note.took, fade * self.met + note.held + 1
+                self.waited, self.met = fade * self.waited + note.took, fade * self.met + held + 1
                 self.each = self.waited / self.met
             if launch.warm:
                 self.pace.mean(self.now, min(note.took, 2 * self.mean()), 0.02, self.deed.target / 4)
