A story holds the gateway under the platform's filter from its start to its end

The story starts the gateway in a process that sets such a filter on itself, tries a fork first so that a missing filter is seen, and has it serve, take up a new configuration and leave on SIGTERM.

--- a/tests/platform/test_in_service.py
+++ b/tests/platform/test_in_service.py
@@ -31,6 +31,22 @@
         assert 0 < int(fields[b"limit"]) <= 2000
 
 
+@story
+async def test_a_gateway_held_by_the_platforms_filter_starts_serves_reloads_and_leaves(town):
+    await town.built(["a"])
+    file = town.configuration()
+    town.run(file, held=True)
+    await town.ready()
+    assert (await town.handled()).status == 200
+    new = await town.bulletin()
+    town.configuration()
+    town.signal("SIGHUP")
+    await new.until_asked(1)
+    assert (await town.handled()).status == 200
+    town.signal("SIGTERM")
+    assert await town.ended() == 0
+
+
 @story
 async def test_bad_calls_reach_no_host_and_usual_ones_are_served_meanwhile(town):
     await town.start()
