--- a/tests/platform/town.py
+++ b/tests/platform/town.py
@@ -27,8 +27,8 @@
                    "loadWait": 4000000}}
 
 
-# Starts the gateway in a process that the kernel refuses what the platform refuses: other programs, fork, io_uring, splice,
-# sendfile and sockets that are not of IPv4. First it tries one itself, so that a filter that is not there is seen.
+# Starts the gateway in a process that the kernel refuses what the platform refuses: other programs, fork, io_uring,
+# splice, sendfile and sockets that are not of IPv4. First it tries one itself, so that no filter is seen to be none.
 HELD = """
 import ctypes, errno, os, platform, runpy, struct, sys
 refused, clone, socket = {
