Copies that all gateways' calls keep standing are used without an order

At fault: Zone.choose holds copies to stand by Function.copies alone, which only own answers fill.

Zone.kept adds the home and the places of the own and of up to four other groups' second workers, where the work at once that answers tell means more than five events in a copy's idle time at each; never at a cold host, and not where own calls already tell all. Places are hashed once for a number of groups.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -27,6 +27,7 @@
 MARGIN = 0.9            # of the multiple in rule 4, for chance
 LEAST = 1.5             # a cold host owns this many times what it can do at least, as few start at the least
 SPREAD = 3              # how often a place that a cold host cannot bear is spread anew
+KEPT = 5                # events in the idle time of a copy: by chance none comes in one idle time of 150
 RECUT = 60000           # a vacancy of this length, or a host left over for a quarter of it, recuts the ranges
 LINGER = 6000           # an idle copy is believed to stand for so long, where nothing is said
 
@@ -112,6 +113,7 @@
         self.copies = {}        # host -> when a copy was last known to stand; History.window drops the old
         self.opening = {}       # host -> since when a load begun by this gateway is waited for
         self.refused = {}       # host -> until when it is held to have no room for a copy
+        self.drawn: tuple[int, list] = (0, [])      # groups, and the places hashed for them
 
     def place(self, key):
         return int.from_bytes(sha1(key.encode()).digest()[:8], "big") / 2.0**64
@@ -120,6 +122,13 @@
         """Hashed from function and gateway number, folded to as many groups as the work at once calls for."""
         return self.place(f"{self.name}/{self.me % self.groups}")
 
+    def seconds(self):
+        """Places in the id space of the own second worker and of up to four other gateways'."""
+        if self.drawn[0] != self.groups:
+            folds = [(self.me + i) % self.groups for i in range(1 + min(4, self.groups // 2))]
+            self.drawn = self.groups, [self.place(f"{self.name}/{k}") for k in dict.fromkeys(folds)]
+        return self.drawn[1]
+
     def told(self, host, crowd, own, now):
         """The crowd times the hosts that share it is the work at once: a group for half a copy's lanes.
         Where no crowd is told, own calls stand in: by the time that one takes and the number of gateways."""
@@ -385,6 +394,17 @@
                     return host
         return None
 
+    def kept(self, func):
+        """Where all gateways' calls are held to keep a copy, though this one saw none there. Guards against
+        orders and waits of each gateway for copies that long stand; harms where hosts are short of memory, or
+        a copy was swept out by others' calls: events then wait for a load there. Never at a cold host."""
+        gate, n = self.gate, len(self.slots)
+        calls = func.work.value * gate.deed.linger / gate.mean() / (1 + func.groups)
+        if calls <= KEPT or gate.deed.gateways < 2 or not n:
+            return []
+        places = [func.home, *(func.seconds() if gate.deed.gateways > 2 * func.groups else ())]
+        return [h for h in (self.slots[int(p * n)] for p in places) if h.level(gate.now) >= 1.0]
+
     def choose(self, evt):
         """The design's path, then its exceptions: the host, and one to order a copy at, if any."""
         func, now, gate = evt.func, self.gate.now, self.gate
@@ -404,11 +424,12 @@
         def rank(host):
             return host.busy() or host.wait(func) > late, host.load(), host.wait(func), host.id
 
-        stand = [h for h in func.copies if h.holds(func, now) and h.ready(now, 0.0, evt.clause) and fits(h)]
+        known = dict.fromkeys([*(h for h in func.copies if h.holds(func, now)), *self.kept(func)])
+        stand = [h for h in known if h.ready(now, 0.0, evt.clause) and fits(h)]
         if stand and (pick.busy() or pick.wait(func) > late):
             pick = min([pick, *stand], key=rank)
         spare, opens = min(stand, key=rank, default=None), gate.deed.orders or pick in func.opening
-        if spare and not spare.busy() and not pick.holds(func, now) and opens:
+        if spare and not spare.busy() and pick not in known and opens:
             return spare, pick      # nobody waits behind a load while a copy stands: one opens the new copy
         if pick.wait(func) > late and now > self.calm and not evt.customer.overloaded(now):
             pick = self.heir(func.home, lambda h: h.wait(func) < late / 2 and h.roomy() and fits(h),
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -131,6 +131,30 @@
     assert fleet.sent[fleet.event("deed")[0]] == [order.host]
 
 
+def test_what_other_gateways_calls_keep_standing_is_used_with_no_order():
+    for gateways, crowd in ((200, 8), (200, 0), (1, 8)):
+        fleet = Fleet([f"h{i}" for i in range(20)], orders=True, gateways=gateways)
+        fleet.crowd, found = crowd, []
+        home = fleet.handle("deed")
+        for _ in range(4):
+            found += fleet.event("deed", later=1.0)[1]
+        hosts = {fleet.sent[e][0] for e in range(2, 6)}
+        kept = fleet.gate.zone.kept(fleet.gate.history.functions["deed"])     # one alone knows by its own calls
+        assert bool(kept) == (gateways == 200 and crowd == 8)
+        assert (hosts != {home} and not kinds(found).count(io.Order)) == (gateways == 200 and crowd == 8)
+
+
+def test_a_cold_host_is_not_held_to_have_what_others_keep():
+    fleet = Fleet([f"h{i}" for i in range(20)], orders=True, gateways=200)
+    fleet.crowd = 8
+    fleet.handle("deed")
+    func, zone = fleet.gate.history.functions["deed"], fleet.gate.zone
+    known = zone.kept(func)
+    assert len(known) > 1
+    fleet.list(**{known[-1].id: {"since": fleet.now}})
+    assert known[-1] not in zone.kept(func)
+
+
 def test_silent_host_is_probed_its_events_taken_back_and_its_range_handed_on():
     fleet = Fleet()
     home = fleet.handle("deed")
