Copies kept by others are looked for in the lower half of the groups, and where work calls for seconds

At fault: Function.seconds named places of all groups; gateways do not agree on how many there are, and only those of the lower half are used by who goes by half.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -123,9 +123,11 @@
         return self.place(f"{self.name}/{self.me % self.groups}")
 
     def seconds(self):
-        """Places in the id space of the own second worker and of up to four other gateways'."""
+        """Places of the own second worker and of up to four others: of the lower half of the groups, which
+        gateways that go by half as many use, too."""
         if self.drawn[0] != self.groups:
-            folds = [(self.me + i) % self.groups for i in range(1 + min(4, self.groups // 2))]
+            half = max(1, self.groups // 2)
+            folds = [self.me % self.groups, *((self.me + i) % half for i in range(4))]
             self.drawn = self.groups, [self.place(f"{self.name}/{k}") for k in dict.fromkeys(folds)]
         return self.drawn[1]
 
@@ -402,7 +404,8 @@
         calls = func.work.value * gate.deed.linger / gate.mean() / (1 + func.groups)
         if calls <= KEPT or gate.deed.gateways < 2 or not n:
             return []
-        places = [func.home, *(func.seconds() if gate.deed.gateways > 2 * func.groups else ())]
+        more = func.work.value >= BUSY and gate.deed.gateways > 2 * func.groups     # or there are no seconds
+        places = [func.home, *(func.seconds() if more else ())]
         return [h for h in (self.slots[int(p * n)] for p in places) if h.level(gate.now) >= 1.0]
 
     def choose(self, evt):
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -144,6 +144,25 @@
         assert (hosts != {home} and not kinds(found).count(io.Order)) == (gateways == 200 and crowd == 8)
 
 
+def test_second_workers_that_too_little_work_calls_for_are_not_held_to_be_kept():
+    fleet = Fleet([f"h{i}" for i in range(20)], orders=True, gateways=200)
+    home = fleet.handle("deed")
+    func = fleet.gate.history.functions["deed"]
+    for work, some in ((0.1, [home]), (0.3, None)):
+        func.work.value = work
+        kept = [h.id for h in fleet.gate.zone.kept(func)]
+        assert kept == some if some else len(kept) > 1
+
+
+def test_others_second_workers_are_held_kept_where_gateways_with_half_the_groups_go_too():
+    for me in (1, 6):
+        fleet = Fleet([f"h{i}" for i in range(60)], gateways=200, me=me)
+        fleet.handle("deed")
+        func = fleet.gate.history.functions["deed"]
+        func.groups, half = 8, {func.place(f"deed/{k}") for k in range(4)}
+        assert set(func.seconds()) == half | {func.second()}
+
+
 def test_a_cold_host_is_not_held_to_have_what_others_keep():
     fleet = Fleet([f"h{i}" for i in range(20)], orders=True, gateways=200)
     fleet.crowd = 8
