The crowd tells the time of one event only where gateways outnumber hosts

At fault: Gateway.landed took the crowd for all that a host held. With three gateways and six hosts a function's crowd is a small part of it, one event seems to take longer than it does, and own events out, a third of all, tell better.

Now only where a host serves more gateways than a gateway has hosts.

--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -616,8 +616,9 @@
             self.handled.add(self.now, 1.0)
             # Where no report is told, the crowd of the function is the least that was there. Guards against
             # hosts that look in time however many wait; harms where other functions fill a host: one then
-            # seems to take longer than it does. The time of a load would pass for the work's.
-            held = note.crowd if note.held is None else note.held
+            # seems to take longer than it does. So only where a host serves more gateways than a gateway
+            # has hosts: with few, own events out tell. The time of a load would pass for the work's.
+            held = note.crowd if note.held is None and self.deed.gateways > self.warm else note.held
             if held is not None and launch.warm:
                 fade = 1 - 1 / FADED
                 self.waited, self.met = fade * self.waited + note.took, fade * self.met + held + 1
