--- a/cherrydoor/logic.py
+++ b/cherrydoor/logic.py
@@ -618,7 +618,8 @@
             # hosts that look in time however many wait; harms where other functions fill a host: one then
             # seems to take longer than it does. So only where a host serves more gateways than a gateway
             # has hosts: with few, own events out tell. The time of a load would pass for the work's.
-            held = note.crowd if note.held is None and self.deed.gateways > self.warm else note.held
+            many = self.deed.gateways > len(self.zone.slots)
+            held = note.crowd if note.held is None and many else note.held
             if held is not None and launch.warm:
                 fade = 1 - 1 / FADED
                 self.waited, self.met = fade * self.waited + note.took, fade * self.met + held + 1
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -383,7 +383,6 @@
         loads.handle("deed", copy=2)    # the time of a load is none of the work's
     assert loads.gate.each == 0.0
     few = Fleet("abcdef", gateways=3)   # own events out are a third of all: they tell
-    few.rest(300)
     few.handle("deed")
     assert few.gate.each == 0.0
 
