The decision module is a package of files cut where its notes pass, behaviour unchanged

Cut by subject: actor, event, table, host, zone, rules (the gate of launches and of orders, and what a lease comes down to) and gateway.

--- /dev/null
+++ b/cherrydoor/logic/host.py
@@ -0,0 +1,190 @@
+"""A host and its health, by its own launches' fates first and the list second."""
+
+from cherrydoor import interface as io
+from cherrydoor.logic.actor import WINDOW, Actor, Tally
+
+PATIENCE = 0.5          # T2 is the own events out that would take this share of the target time one by one
+OTHERS = 2              # others' events held to be at a host when own ones are compared to the usual
+DEAF = 4000             # time for which a host is first held to be deaf to an event type
+FADED = 100             # answers after which what they told has faded by two thirds
+LEAST = 1.5             # a cold host owns this many times what it can do at least, as few start at the least
+
+
+class Ear:
+    """What a host lets hear of one event type; it goes with the host's process. Guards against hosts that
+    leave one unanswered, also answers lost at random; harms when a slow event is overtaken at a well host."""
+
+    def __init__(self):
+        self.heard, self.struck, self.strikes, self.shut = 0.0, 0.0, 0, 0.0
+
+
+class Host(Actor):
+    """One worker as this gateway sees it: its own launches' fates first, the list second."""
+
+    def __init__(self, gate, row):
+        super().__init__(gate.loop)
+        self.gate, self.id, self.zone, self.cell = gate, row.host, row.zone, row.cell
+        self.state, self.out = None, {}           # launches out, oldest first; each leaves with its outcome
+        self.reset(row.since)
+
+    def reset(self, since):
+        """A process that starts anew has an empty memory and a clean slate."""
+        self.since, self.heard, self.strikes, self.shut, self.struck = since, 0.0, 0, 0.0, 0.0
+        self.passed = 0.0           # when the latest of the answered events was sent
+        self.probing = self.sheds = False
+        self.ears = {}              # event type -> Ear, no more than there are types
+        self.pace, self.crowd = Tally(half=2 * WINDOW), 1.0     # mean answer time, usual own events out
+        self.others, self.full, self.tight = Tally(), Tally(), -1e18   # as answers tell; when short of memory
+        self.tried = self.gate.now - self.gate.chance() * self.gate.deed.gateways * self.gate.mean()
+        self.credit, self.credited = self.gate.chance(), self.gate.now      # of rule 4, while cold
+
+    def listed(self, state, since):
+        if since != self.since and state == io.READY:
+            self.reset(since)
+        self.state = state
+
+    def level(self, now):
+        """The share of its full capacity that a host has at least."""
+        age = max(0.0, now - self.since) / (self.gate.deed.cold or 1.0) if self.since else 1.0
+        return min(1.0, self.gate.deed.cold_from + (1 - self.gate.deed.cold_from) * age)
+
+    def room(self, now):
+        """Rule 4: this gateway's part of what a warm host bears, times level and multiple, is earned with
+        time; a launch costs one. It begins below one, by chance, so that all parts add up to the whole."""
+        level, deed = self.level(now), self.gate.deed
+        if level >= 1.0 or not deed.fall:
+            return True
+        rate = deed.budget * level * self.gate.borne()
+        earned = self.credit + rate * (now - self.credited)
+        self.credit, self.credited = min(earned, max(1.0, rate * deed.fall / 2)), now
+        return self.credit >= 1.0
+
+    def ready(self, now, part=0.0, clause=None):
+        """What fails this hands the range on; a cold host takes it back by parts, alike at all gateways."""
+        bad = self.shut > now or self.probing or self.strikes > 1 and self.out
+        fit = self.state == io.READY and part <= LEAST * self.level(now) and self.room(now)
+        return fit and (self.gate.blind or not bad) and not self.deaf(clause, now)
+
+    def deaf(self, clause, now):
+        """To one event type alone; once its time is over one event at a time tries it."""
+        ear = self.ears.get(clause and clause.name)
+        return ear is not None and (ear.shut > now or ear.strikes > 0 and any(
+            t.evt.clause is clause for t in self.out))
+
+    def holds(self, func, now):
+        seen = func.copies.get(self, self.since)
+        return seen > self.since and now - seen < self.gate.deed.linger
+
+    def roomy(self):
+        return self.gate.now - self.tight > self.gate.deed.linger
+
+    def load(self):
+        """Own events out here and, as far as they were told and have not aged away, those of others."""
+        return len(self.out) + round(self.others.read(self.gate.now), 1)
+
+    def wait(self, func):
+        """The time that an event sent now is predicted to take, by its own answers and its own events out."""
+        now, full = self.gate.now, self.full.read(self.gate.now)
+        since = [t.sent if t.evt.func is func else max(t.sent, self.heard)
+                 for t in self.out if t.stood and not t.silent]
+        pace = max(self.mean(), now - min(since, default=now), full * self.gate.deed.target)
+        own = pace * (len(self.out) + 1 + OTHERS) / (self.crowd + OTHERS)
+        return max(own, self.gate.each * (self.load() + 1) if now - self.others.at < WINDOW else 0.0)
+
+    def mean(self):
+        return self.pace.read(self.gate.now, self.gate.mean())
+
+    def sent(self, launch, now):
+        self.out[launch] = self.tried = now
+        self.crowd += 0.1 * (max(1, len(self.out)) - self.crowd)
+        self.credit -= 1.0
+
+    def busy(self):
+        """T1 and T2, as shares of T2. A full answer counts as T2 and ages."""
+        t2 = max(3.0, PATIENCE * self.gate.deed.target / self.gate.brisk)
+        usual = self.gate.waited / FADED        # the mean answer time, as faded sums have it
+        told = self.load() * self.gate.each / max(PATIENCE * self.gate.deed.target, 1.5 * usual)
+        out = max(len(self.out) / t2, told) + self.full.read(self.gate.now)
+        self.sheds = out >= (0.6 if self.sheds else 1.0)
+        return self.sheds
+
+    def back(self, launch, note, now):
+        self.out.pop(launch, None)
+        long = note.took > self.patience(launch)        # before what it teaches of the mean
+        if note.fate in (io.HANDLED, io.FULL, io.ERROR, io.MISSING):
+            held = max(self.others.read(now), note.crowd or 0) if note.held is None else note.held
+            self.heard, self.others = now, Tally(now, max(0.0, held - len(self.out)), 2 * WINDOW)
+        ear = self.ears.setdefault(launch.evt.clause.name, Ear())
+        if note.fate == io.NO_ANSWER and self.unheard(launch, ear, now):
+            self.strike_ear(launch, ear, now)
+        elif note.fate in (io.HANDLED, io.ERROR):
+            self.passed = max(self.passed, launch.sent)
+            ear.heard, ear.strikes, ear.shut = now, ear.strikes // 2, 0.0
+        left = note.fate in (io.NO_ANSWER, io.RECALLED) and launch.stood and note.took > self.mean()
+        left = left and not launch.silent
+        if left or note.fate == io.HANDLED and launch.warm:     # what left unanswered tells, too
+            self.pace.mean(now, note.took, 0.1, self.gate.mean())
+        if note.fate == io.HANDLED:
+            self.strikes, self.shut = 0, 0.0
+        elif note.fate == io.FULL and launch.stood:
+            self.full = Tally(now, 1.0)
+        elif note.fate in (io.ERROR, io.LOST) and note.copy != 4:
+            self.strike(1, now, launch.sent)
+        elif note.fate == io.NO_CONNECTION or note.fate == io.NO_ANSWER and (
+                long and self.heard < launch.sent):
+            self.strike(2, now, launch.sent)
+
+    def strike(self, weight, now, sent):
+        """Bad fates in a row shut a host for a time that doubles; one good answer ends it. What was out
+        together counts once: guards against a host long shut for one moment; harms where single ones fail."""
+        if sent < self.struck:
+            return
+        self.strikes, self.struck = self.strikes + weight, now
+        if self.strikes > 1:
+            self.shut = now + 250 * 2 ** min(self.strikes, 4) * (1 + self.gate.chance())
+
+    def patience(self, launch):
+        """Silence that tells of the host. Guards against clients that wait for less, whose launches are cut
+        while the host works; harms where all do: a dead host is then found by refused connections alone."""
+        return max(250.0, 4 * self.mean()) + (0 if launch.stood else 3 * self.gate.load)
+
+    def sweep(self, now):
+        """Silence shows a host that stalls or is cut off: it is probed, else its events are taken back.
+        Answers to other event types show no more than that it runs: each type has an ear of its own."""
+        for launch in self.out:
+            ear = self.ears.setdefault(launch.evt.clause.name, Ear())
+            if not launch.evt.streams and self.unheard(launch, ear, now):
+                self.strike_ear(launch, ear, now)
+                self.gate.post("take_back", launch)
+        silent = any(now - max(sent, self.heard) > self.patience(launch)
+                     for launch, sent in self.out.items() if not launch.evt.streams)
+        ask = not self.probing and (silent or self.strikes > 1 and self.shut <= now)
+        if ask and self.gate.deed.probes:
+            self.probing = True
+            self.gate.actions.append(io.Probe(self.id))
+        elif ask and silent:
+            self.probed(io.NO_ANSWER, now)
+
+    def unheard(self, launch, ear, now):
+        """Out for long, nothing of its type was answered since, and events sent after it were."""
+        waits = max(250.0, 4 * self.mean()) * (1 if ear.strikes else 2)
+        waits += 0 if launch.stood else 1.5 * self.gate.load
+        return self.passed > launch.sent and now - max(launch.sent, ear.heard) > waits
+
+    def strike_ear(self, launch, ear, now):
+        launch.silent = True
+        if launch.sent > ear.struck:
+            ear.struck, ear.strikes = now, ear.strikes + 1
+            lost, all_ = self.gate.losses[launch.evt.clause.name]
+            lost.add(now, 1.0)
+            sure = (1 + 20 * lost.read(now) / (20 + all_.read(now))) * 4 ** (ear.strikes - 1)
+            ear.shut = now + DEAF * min(10, sure) * (0.75 + self.gate.chance() / 2)
+
+    def probed(self, fate, now):
+        self.probing = False
+        if fate == io.HANDLED:
+            self.heard, self.strikes, self.shut = now, 0, 0.0
+        elif fate != io.FULL:
+            self.strike(2, now, now)
+            for launch in self.out:
+                self.gate.post("take_back", launch)
--- a/cherrydoor/rehearsal/baselines.py
+++ b/cherrydoor/rehearsal/baselines.py
@@ -3,7 +3,8 @@
 The rules, the taking of events, health and answers are as in the module; only where an event goes differs.
 """
 
-from cherrydoor.logic import Gateway, Zone
+from cherrydoor.logic import Gateway
+from cherrydoor.logic.zone import Zone
 
 
 def may_get(gate, evt):
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -3,7 +3,7 @@
 from fake import Fleet, kinds
 
 from cherrydoor import interface as io
-from cherrydoor.logic import Tally
+from cherrydoor.logic.actor import Tally
 
 
 def test_every_gateway_sends_a_function_to_the_same_home():
