--- /dev/null
+++ b/cherrydoor/emulator/doors.py
@@ -0,0 +1,123 @@
+"""A gateway of the daemon's own text on the world's time and pipes."""
+
+import asyncio
+
+from cherrydoor.admission import decide as d
+from cherrydoor.admission.listener import word_of
+from cherrydoor.gateway.shell import Shell
+
+
+class Clock:
+    """A gateway's clock on the world's time."""
+
+    def __init__(self, world):
+        self.world, self.ahead = world, world.wall() * 1000 - world.time() * 1000
+
+    def now(self):
+        return self.world.time() * 1000 + self.ahead
+
+
+class Uses:
+    """Nothing is short here."""
+
+    def measure(self):
+        return d.Measured(0.0, 0.0, 0.0)
+
+    def take_back(self):
+        pass
+
+    def let_go(self):
+        return False
+
+    def close(self):
+        pass
+
+
+class Arrival:
+    """A connection on its way in, on a pipe in place of a socket."""
+
+    def __init__(self, shell, make, pipe):
+        self.hall, self.make, self.pipe, self.end = shell.hall, make, pipe, None
+        self.caller = d.Caller(pipe.other.address, shell.hall.clock.now(), self)
+
+    def let_in(self):
+        self.pipe.world.call_soon(lambda: self.pipe.closing or self.pipe.world.attach(self.pipe, self.make(self)))
+
+    def seat(self, largest):
+        self.end.seated(largest)
+
+    def refuse(self, word, stay_away):
+        if self.end is not None:
+            return self.end.close(word, stay_away)
+        self.pipe.protocol = asyncio.BaseProtocol()
+        self.pipe.write(word_of(word, -(-stay_away // 10) * 10.0))
+        self.pipe.close()
+
+    def pause(self):
+        self.end.pause()
+
+    def resume(self):
+        self.end.resume()
+
+
+class Door(Shell):
+    """A gateway of the daemon's own text; dead or standing still where the day says so."""
+
+    def __init__(self, world, figures, gate):
+        self.world, self.dead, self.stands, self.late, self.listener = world, False, False, False, None
+        super().__init__(figures, gate, Uses(), None, Clock(world))
+
+    def listen(self, where, make, context):
+        host, port = where
+
+        def accept(pipe):
+            pipe.frozen = self.stands
+            self.hall.post(d.Knock(Arrival(self, make, pipe).caller))
+        self.listener = self.world.listen(host, port, accept)
+        return self.listener.getsockname()[1]
+
+    def post(self, what, *args):
+        if not self.dead:
+            super().post(what, *args)
+
+    def turn(self):
+        if self.dead:
+            return
+        if self.stands:
+            self.late = True
+            return
+        super().turn()
+
+    def set_timer(self):
+        if not self.dead:
+            super().set_timer()
+
+    def wires(self):
+        """All its transports."""
+        found = [end.transport for end in self.door.ends]
+        found += [caller.wire.end.transport for caller in list(self.hall.guard.porch.unshown) if caller.wire.end]
+        found += [link.wire.transport for host in self.desk.hosts.values() for link in host.links if link.wire]
+        found += [end.transport for end in (self.roll.end, self.releases and self.releases.end) if end]
+        return [wire for wire in found if wire is not None]
+
+    def kill(self):
+        self.dead = True
+        self.listener.close()
+        self.hall.timer.cancel()
+        self.roll.task.cancel()
+        for task in self.releases.tasks if self.releases else ():
+            task.cancel()
+        if self.timer:
+            self.timer.cancel()
+        for wire in self.wires():
+            wire.abort()
+
+    def stand(self, still):
+        self.stands = still
+        for wire in self.wires():
+            wire.frozen = still
+            if not still:
+                self.world.call_soon(wire.release)
+        if not still and self.late:
+            self.late = False
+            self.world.call_soon(self.turn)
--- /dev/null
+++ b/cherrydoor/gateway/books.py
@@ -0,0 +1,62 @@
+"""What the desk keeps a line of: clients, events taken, what hosts owe an end, links and hosts."""
+
+DIALING, OPEN, SHUT = "dialing", "open", "shut"
+
+
+class Client:
+    """One connection at the door. `ahead` is the least (our clock less its clock) seen: the way without delay."""
+
+    def __init__(self, wire, name=""):
+        self.wire, self.name, self.open, self.ahead = wire, name, {}, None
+
+    def late(self, sent, now):
+        """How long a frame was under way beyond the quickest, in ms: a stall of ours or of the network."""
+        gap = now - sent
+        if self.ahead is None or gap < self.ahead:
+            self.ahead = gap
+        return gap - self.ahead
+
+
+class Taken:
+    """An event from its arrival to its final answer and the last of its launches."""
+
+    __slots__ = ("number", "event", "client", "until", "launches", "out", "over", "streams", "at", "told",
+                 "function")
+
+    def __init__(self, number, event, client, until, at):
+        self.number, self.event, self.client, self.until, self.at = number, event, client, until, at
+        self.launches, self.out, self.over, self.streams, self.told = [], 0, False, False, ""
+        self.function = event.function      # the version that the module knows it by
+
+
+class Sent:
+    """A launch, a probe or an order that a host owes an end; `kind` is the note's type that will tell it."""
+
+    __slots__ = ("kind", "id", "at", "link", "taken", "index", "function", "fate", "called")
+
+    def __init__(self, kind, number, at, link, taken=None, index=0, function=""):
+        self.kind, self.id, self.at, self.link, self.taken = kind, number, at, link, taken
+        self.index, self.function, self.fate, self.called = index, function, None, function
+
+
+class Link:
+    """One connection to a host. What is written while it dials waits in `waiting` and was never sent if that fails."""
+
+    def __init__(self, host, now):
+        self.host, self.state, self.wire, self.out, self.waiting, self.used = host, DIALING, None, {}, [], now
+        self.heard = now        # when last something was answered on it, or it came up
+        self.mute = False       # something was given up on it without a word; it gets nothing new until it has one
+
+    def write(self, message):
+        if self.state == OPEN:
+            self.wire.write(message)
+        elif self.state == DIALING:
+            self.waiting.append(message)
+
+
+class Host:
+    """A host once listed. `since` is the later of what the list said and what the host's own hello said."""
+
+    def __init__(self, row):
+        self.id, self.row, self.links, self.since = row.host, row, [], row.since
+        self.carried = 0        # launches, probes and orders sent there
--- /dev/null
+++ b/cherrydoor/gateway/door.py
@@ -0,0 +1,106 @@
+"""The door of one gateway: clients' connections, their hellos and what is read from them."""
+
+import asyncio
+
+import structlog
+
+from cherrydoor.admission import decide as d
+from cherrydoor.admission.listener import CHUNK, Read
+from cherrydoor.ends import End, Some
+from cherrydoor.frames import messages as m
+from cherrydoor.gateway.desk import Client
+from cherrydoor.keys import decide as k
+from cherrydoor.keys.keeper import NotProved
+
+log = structlog.get_logger()
+
+HELLO = 8192        # bytes of the longest hello that is read
+EASE, LONGEST_EASE = 0.1, 30.0      # s between looks at whether a connection that is to end has anything open
+QUIET = 250.0       # ms without a word from a client before its connection is closed on it
+
+
+class ClientEnd(Read, End):
+    """A client at the door: at first only a short hello is read from it."""
+
+    def __init__(self, shell, arrival):
+        super().__init__(shell.door, m.FROM_CLIENT, shell.hello, shell.bounds.client_bytes, HELLO)
+        self.reader.halts, self.arrival, self.chunk = True, arrival, bytearray(CHUNK)
+        self.client = Client(self)
+        arrival.caller.open = self.client.open
+
+    def connection_made(self, transport):
+        self.arrival.end = self         # from now on it can be told why it is refused
+        super().connection_made(transport)
+
+    def data_received(self, data):
+        heard = self.take(data)
+        if heard and self.reader.held and self.arrival.caller.state == "seated" and not self.reader.fault:
+            heard += self.take(b"")         # what came along with the hello
+        self.holds(len(self.reader.held), heard)
+
+    def seated(self, largest):
+        self.reader.largest = min(largest, self.owner.shell.bounds.frame)
+        self.owner.seated(self)
+
+
+class Door:
+    def __init__(self, shell):
+        self.shell, self.ends = shell, Some()
+
+    def greeted(self, end, hello):
+        shell = self.shell
+        if hello.role != "client":
+            return end.close(f"a client is expected here, not a {hello.role}")
+        try:
+            office, proof = shell.keeper.identify(end.transport, hello.token)
+        except NotProved as error:
+            shell.hall.guard.count("not proved")       # not the word itself: it may hold what a client wrote
+            return end.close(str(error), 1000.0)
+        end.proof = proof
+        shell.hall.post(d.Shown(end.arrival.caller, office))
+
+    def seated(self, end):
+        self.ends.add(end)
+        self.shell.keeper.post(k.Joined(end, **end.proof))
+        self.shell.post(self.shell.desk.came_in, end.client, end.reader.hello)
+
+    def heard(self, end, message):
+        shell = self.shell
+        if end not in self.ends:
+            return
+        if type(message) is m.Event:
+            shell.post(shell.desk.came, end.client, message)
+            caller = end.arrival.caller
+            group = caller.group
+            group.read += 1
+            if group.allowed is not None and group.read >= group.allowed and not group.paused:
+                shell.hall.post(d.Poured(caller))
+        else:
+            shell.post(shell.desk.withdrawn, end.client, message.id)
+
+    def put_out(self, end, why, at_once, since=None):
+        """Ends a connection whose keys are out of service. Unless at once the client is told to go elsewhere, and it
+        is closed when nothing is open on it and nothing has come for a while: what is under way to us while we close
+        would be cut off untaken."""
+        loop = asyncio.get_running_loop()
+        if end not in self.ends:
+            return
+        if since is None:
+            since = loop.time()
+            if not at_once:
+                end.write(m.Leaving(why))
+        quiet = self.shell.clock.now() - max(end.arrival.caller.used, 1000 * since + self.shell.clock.ahead) > QUIET
+        if at_once or not end.client.open and quiet or loop.time() - since > LONGEST_EASE:
+            self.shell.desk.counts["connections put out"] += 1
+            end.close(why)
+        else:
+            loop.call_later(EASE, self.put_out, end, why, False, since)
+
+    def lost(self, end):
+        self.shell.hall.post(d.Gone(end.arrival.caller))
+        if end in self.ends:
+            self.ends.discard(end)
+            self.shell.keeper.post(k.Left(end))
+            self.shell.post(self.shell.desk.went, end.client)
+        if end.why and not end.why.startswith("[Errno"):
+            log.info("a client's connection was closed", client=end.client.name, why=end.why)
--- /dev/null
+++ b/cherrydoor/gateway/floor.py
@@ -0,0 +1,56 @@
+"""Connections of one gateway to hosts."""
+
+import asyncio
+
+import structlog
+
+from cherrydoor.ends import End
+from cherrydoor.frames import codec
+from cherrydoor.frames import messages as m
+from cherrydoor.gateway.turn import dial
+
+log = structlog.get_logger()
+
+
+class HostEnd(End):
+    """A connection to a host."""
+
+    def __init__(self, shell, link):
+        super().__init__(shell.floor, m.FROM_HOST, shell.hello, shell.bounds.host_bytes, shell.bounds.frame)
+        self.link = link
+
+    def connection_made(self, transport):
+        super().connection_made(transport)
+        self.owner.shell.post(self.owner.shell.desk.linked, self.link, self)
+
+    def write(self, message):
+        try:
+            super().write(message)
+        except codec.BadFrame as error:     # the host says that it takes no frame of this size
+            self.owner.too_large(self, message, error)
+
+
+class Floor:
+    def __init__(self, shell):
+        self.shell = shell
+
+    def dial(self, link):
+        asyncio.get_running_loop().create_task(self.connect(link))
+
+    async def connect(self, link):
+        await dial(self.shell, link, link.host.id, lambda: HostEnd(self.shell, link), self.shell.keeper.client)
+
+    def greeted(self, end, hello):
+        if hello.role != "host":
+            return end.close(f"a host is expected here, not a {hello.role}")
+        self.shell.post(self.shell.desk.greeted, end.link, hello)
+
+    def heard(self, end, message):
+        self.shell.post(self.shell.desk.heard, end.link, message)
+
+    def too_large(self, end, message, error):
+        log.warning("a host takes no frame of this size", host=end.link.host.id, error=str(error))
+        self.shell.post(self.shell.desk.heard, end.link, m.Outcome(message.id, "full"))
+
+    def lost(self, end):
+        self.shell.post(self.shell.desk.unlinked, end.link)
--- /dev/null
+++ b/cherrydoor/gateway/links.py
@@ -0,0 +1,238 @@
+"""The desk's side towards hosts: links, what is out on them and how it ends, and the list. No I/O, no clock."""
+
+from typing import Any
+
+from cherrydoor import interface as io
+from cherrydoor.frames import messages as m
+from cherrydoor.gateway.books import DIALING, OPEN, SHUT, Host, Link, Sent
+from cherrydoor.versions import decide as v
+
+HANDSHAKES = 0.01       # of the worth of what a host has carried may have gone into connections beside the first
+
+
+class Links:
+    """What the desk does with hosts; the tables are the desk's."""
+
+    answer: Any
+    forget: Any
+    gate: Any
+    terms: Any
+    dial: Any
+    ended: Any
+    versions: Any
+    hosts: dict
+    notes: Any
+    counts: Any
+    alarm: Any
+    now: float
+    numbers: int
+
+    def ask(self, name, kind, function, wait, message, *values):
+        """A probe or an order: exactly one note comes back."""
+        self.numbers += 1
+        sent = Sent(kind, self.numbers, self.now, None, function=function)
+        if host := self.hosts.get(name):
+            self.send(host, sent, message(sent.id, *values))
+            self.alarm(self.now + wait, self.cut, sent, io.NO_ANSWER)
+        else:
+            self.counts["questions to hosts never listed"] += 1
+            unknown = (io.Probed(name, io.NO_CONNECTION, 0.0) if kind is io.Probed else
+                       io.Loaded(function, name, io.NO_CONNECTION, 0, 0.0))
+            self.notes.append(unknown)
+
+    # ---- the floor
+    def send(self, host, sent, message):
+        """On the first link with room; a further one is opened up to the bound and as far as what the host has carried
+        bears it, then they are shared. Guards against hundreds of gateways that open connections which each serve
+        once; harms where a connection that ends takes other launches with it: one that has carried little."""
+        host.carried += 1
+        links = [ln for ln in host.links if not ln.mute]
+        link = next((ln for ln in links if len(ln.out) < self.terms.per_link), None)
+        borne = HANDSHAKES * host.carried >= self.terms.handshake * len(links)
+        if link is None and borne and len(host.links) < self.terms.links:
+            link = Link(host, self.now)
+            host.links.append(link)
+            self.alarm(self.now + self.terms.connect, self.connect_timed_out, link)
+            self.dial(link)
+        link = link or min(links or host.links, key=lambda ln: len(ln.out))
+        sent.link, link.out[sent.id], link.used = link, sent, self.now
+        link.write(message)
+
+    def linked(self, link, wire):
+        if link.state != DIALING:       # it timed out in the meantime
+            return wire.close("")
+        link.state, link.wire, link.heard = OPEN, wire, self.now
+        waiting, link.waiting = link.waiting, []
+        for message in waiting:
+            if link.host.row.state == "ready":
+                wire.write(message)
+            else:       # guards drains: what waited for the connection does not go out late
+                self.unsent(link, message.id)
+
+    def unsent(self, link, number):
+        """A launch, probe or order that was never written."""
+        if number in link.out:
+            self.done(link.out[number], io.UNSENT)
+
+    def connect_timed_out(self, link):
+        if link.state == DIALING:
+            self.counts["connections not up in time"] += 1
+            self.unlinked(link)
+
+    def unlinked(self, link):
+        """Refused, never up, or lost: what was never sent is told apart from what was."""
+        if link.state == SHUT:
+            return
+        fate = io.NO_CONNECTION if link.state == DIALING else io.LOST
+        link.state, link.waiting = SHUT, []
+        link.host.links.remove(link)
+        self.counts[f"links: {fate}"] += bool(link.out)
+        for sent in list(link.out.values()):
+            self.done(sent, fate)
+
+    def greeted(self, link, hello):
+        """A host's own word on when it started is newer than the list's, never older."""
+        host = link.host
+        if hello.since > host.since + 1 and host.row.state == "ready":
+            host.since = hello.since
+            self.counts["restarts learned from hosts"] += 1
+            self.notes.append(io.Listing(io.CHANGES, (self.told(host),)))
+
+    def heard(self, link, message):
+        """Whatever a host answers; only what is out on this very link counts."""
+        link.used = link.heard = self.now
+        link.mute = False
+        sent = link.out.get(message.id)
+        kind = sent and sent.kind
+        if kind is io.Outcome and type(message) is m.Outcome:
+            self.done(sent, message.fate, message)
+        elif kind is io.Outcome and type(message) is m.Underway:
+            self.underway(sent)
+        elif kind is io.Probed and type(message) is m.Probed or kind is io.Loaded and type(message) is m.Ordered:
+            self.done(sent, message.fate, message)
+        elif type(message) is not m.Dropped:
+            self.counts["answers to what is over or was never asked there"] += 1
+
+    def underway(self, sent):
+        taken = sent.taken
+        if not taken.over and not taken.streams and self.gate.deed.clauses[taken.event.clause].stream:
+            taken.streams = True
+            taken.client.wire.write(m.Started(taken.event.id))
+            self.notes.append(io.Underway(taken.number, sent.index, sent.link.host.id))
+
+    def cut(self, sent, fate):
+        """The gateway waits no longer: the host is told, unless it never had it."""
+        if sent.fate is not None:
+            return
+        link, launch = sent.link, sent.kind is io.Outcome
+        if link.state == DIALING:
+            link.waiting = [w for w in link.waiting if w.id != sent.id]
+            fate = io.UNSENT if fate == io.RECALLED else io.NO_CONNECTION
+        elif launch:
+            link.write(m.Recall(sent.id))
+        self.done(sent, fate)
+        if link.state == OPEN and self.now - max(sent.at, link.heard) >= self.terms.silence:
+            link.mute = True
+            self.silent(link.host, sent.at)
+
+    def silent(self, host, since):
+        """Closes the host's unused links on which nothing was heard since then. Guards against connections that a cut
+        network leaves open and dead, where each launch would be lost anew; harms where a host is only slow: it is
+        dialled again."""
+        for link in [ln for ln in host.links if ln.state == OPEN and not ln.out and ln.heard <= since]:
+            self.counts["links closed over their silence"] += 1
+            link.state = SHUT
+            host.links.remove(link)
+            link.wire.close("")
+
+    def done(self, sent, fate, message=None):
+        """The one place where a launch, probe or order ends; an end that comes twice is ignored."""
+        if sent.fate is not None:
+            return
+        sent.fate, took = fate, self.now - sent.at
+        if sent.link:
+            sent.link.out.pop(sent.id, None)
+        name = sent.link.host.id if sent.link else ""
+        if sent.kind is io.Probed:
+            self.notes.append(io.Probed(name, fate, took))
+        elif sent.kind is io.Loaded:
+            self.notes.append(io.Loaded(sent.function, name, fate, message.copies if message else 0, took))
+            self.ended(v.Loaded(sent.function, fate, took))
+        else:
+            self.landed(sent, fate, took, name, message)
+
+    def landed(self, sent, fate, took, name, message):
+        taken = sent.taken
+        taken.out -= 1
+        broken = taken.streams and fate != io.HANDLED
+        if not taken.over and fate == io.HANDLED:
+            self.answer(taken, m.Answer(taken.event.id, "handled", 0.0, "", message.body))
+        elif not taken.over and broken:
+            self.answer(taken, m.Answer(taken.event.id, "dead-lettered", 0.0, "the stream broke"))
+        copy = message.copy if message else 0
+        told = self.told_by(message) if message else (None,) * 5
+        if self.versions is not None and sent.link:
+            self.ended(v.Ended(sent.called, name, fate, took, copy in (2, 3), copy == 4,
+                               message.tally if message else None, taken.event.party))
+            if sent.called != taken.function:       # what it says of copies is of another version than the module's
+                told = (None, None, *told[2:])
+        self.notes.append(io.Outcome(taken.number, sent.index, fate, taken.over, name, took, *told))
+        self.forget(taken)
+
+    def told_by(self, outcome):
+        """What this deployment's answers do not tell is None; that a load failed is told everywhere."""
+        copy, crowd = self.terms.tells
+        return (outcome.copy if copy or outcome.copy == 4 else None, outcome.crowd if crowd else None,
+                outcome.held, outcome.queue, outcome.tied)
+
+    def tidy(self):
+        """Closes idle links and forgets hosts that are gone and unlinked."""
+        self.alarm(self.now + self.terms.idle / 10, self.tidy)
+        for host in list(self.hosts.values()):
+            gone = host.row.state == "gone"
+            for link in list(host.links):
+                if link.state == OPEN and not link.out and (gone or self.now - link.used > self.terms.idle):
+                    link.state = SHUT
+                    host.links.remove(link)
+                    link.wire.close("")
+            if gone and not host.links:
+                del self.hosts[host.id]
+
+    # ---- the list
+    def listed(self, how, rows):
+        """Rows of the list's wire. A whole list leaves out what is gone."""
+        if how != io.CHANGES:
+            named = {row.host for row in rows}
+            for host in self.hosts.values():
+                if host.id not in named:
+                    host.row = m.Row(host.id, "gone", host.row.since, host.row.zone, host.row.cell)
+        told = []
+        for row in rows:
+            host = self.hosts.get(row.host)
+            if host is None and row.state == "gone":
+                continue
+            host = self.hosts[row.host] = host or Host(row)
+            host.row, host.since = row, max(host.since, row.since)
+            told.append(self.told(host))
+        self.notes.append(io.Listing(how, tuple(told)))
+
+    def list_failed(self):
+        self.notes.append(io.Listing(io.FAILED, ()))
+
+    def told(self, host):
+        row = host.row
+        return io.Row(row.host, row.state, host.since, row.zone, row.cell)
+
+    def rows(self):
+        """The list as last held, for the next start."""
+        return [h.row for h in self.hosts.values() if h.row.state != "gone"]
+
+    # ---- releases
+    def unload(self, name, hosts):
+        """Idle copies of a version may go; nobody waits for an answer."""
+        for one in hosts:
+            host = self.hosts.get(one)
+            link = next((ln for ln in host.links if ln.state == OPEN), None) if host else None
+            if link is not None:
+                self.numbers += 1
+                link.write(m.Drop(self.numbers, name))
--- /dev/null
+++ b/cherrydoor/gateway/roll.py
@@ -0,0 +1,113 @@
+"""The list of hosts as one gateway follows it, and as it keeps it for its next start."""
+
+import asyncio
+
+import msgspec
+import structlog
+
+from cherrydoor import interface as io
+from cherrydoor.ends import End
+from cherrydoor.frames import messages as m
+from cherrydoor.gateway.turn import address
+
+log = structlog.get_logger()
+
+
+class ListEnd(End):
+    """A connection to the list; revisions count up on it."""
+    revision = 0
+
+
+class Roll:
+    """Follows the list: by push, or by asking when the module says so. Keeps the last one on disk."""
+
+    def __init__(self, shell, where, saved, asks):
+        self.shell, self.where, self.saved, self.asks = shell, where, saved, asks
+        self.end, self.task, self.said, self.dirty = None, None, False, False
+
+    def read_saved(self):
+        """The list as last held; what cannot be read is said and left."""
+        if not self.saved or not self.saved.exists():
+            return None
+        try:
+            return msgspec.json.decode(self.saved.read_bytes(), type=list[m.Row])
+        except (msgspec.DecodeError, OSError) as error:
+            log.warning("the saved list cannot be read", file=str(self.saved), error=str(error))
+            return None
+
+    def save(self):
+        self.dirty = False
+        if not self.saved:
+            return
+        try:
+            new = self.saved.with_suffix(".new")
+            new.write_bytes(msgspec.json.encode(self.shell.desk.rows()))
+            new.replace(self.saved)
+        except OSError as error:
+            log.warning("the list cannot be saved", file=str(self.saved), error=str(error))
+
+    def start(self):
+        self.task = asyncio.get_running_loop().create_task(self.follow())
+
+    async def follow(self):
+        """Connects again and again; says so once while the list cannot be reached."""
+        loop, pause = asyncio.get_running_loop(), 0.1
+        while True:
+            try:
+                self.gone = loop.create_future()
+                async with asyncio.timeout(5.0):
+                    _, self.end = await loop.create_connection(
+                        lambda: ListEnd(self, m.FROM_LIST, self.shell.hello), *address(self.where))
+                pause = 0.1
+                if self.said:
+                    log.info("the list is reached", address=self.where)
+                self.said = False
+                if not self.asks and self.end:
+                    self.end.write(m.Follow())
+                await self.gone
+                self.end = None
+            except (TimeoutError, OSError) as error:
+                if not self.said:
+                    log.warning("the list cannot be reached, going on with the last one", address=self.where,
+                                error=str(error) or "time-out", hosts=len(self.shell.desk.hosts))
+                self.said = True
+            await asyncio.sleep(pause)
+            pause = min(2.0, pause * 1.5)
+
+    def hear(self, asked):
+        """The module asks for the list; either it comes, or a failure is told, and the module asks again."""
+        asyncio.get_running_loop().call_soon(self.subscribe)
+
+    def subscribe(self):
+        if self.end is not None:
+            self.end.write(m.Follow())
+        else:
+            self.shell.post(self.shell.desk.list_failed)
+
+    def greeted(self, end, hello):
+        if hello.role != "list":
+            end.close(f"a list is expected here, not a {hello.role}")
+
+    def heard(self, end, message):
+        self.shell.post(self.listed, end, message)
+
+    def listed(self, end, message):
+        how = io.CHANGES if message.how == "changes" else io.WHOLE
+        if message.revision < end.revision:     # guards against a list that is served by several, one behind
+            self.shell.desk.counts["late lists"] += 1
+            log.warning("a list older than the one before is ignored", revision=message.revision, had=end.revision)
+            return
+        end.revision = message.revision
+        self.shell.desk.listed(how, message.rows)
+        end.write(m.Heard(message.revision))
+        if not self.dirty:
+            self.dirty = True
+            asyncio.get_running_loop().call_later(0.5, self.save)
+
+    def lost(self, end):
+        if self.end is end:
+            self.end = None
+            self.shell.post(self.shell.desk.list_failed)
+            log.warning("the connection to the list is lost", address=self.where, why=end.why)
+        if not self.gone.done():
+            self.gone.set_result(None)
--- a/cherrydoor/lease/figures.py
+++ b/cherrydoor/lease/figures.py
@@ -6,8 +6,6 @@
 from pathlib import Path
 
 from cherrydoor import interface as io
-from cherrydoor.admission.decide import Known, Manners
-from cherrydoor.keys.decide import Usage
 from cherrydoor.lease.records import Duration, Problem, Problems, Size, read
 
 
@@ -70,9 +68,9 @@
         self.name, self.door, self.list_at = said["name"], said["door"], said["list"]
         self.saved = Path(said["saved"]) if said["saved"] else None
         self.metrics = said["metrics"]
-        self.manners, self.memory = manners_of(said), said["admission"]["memory"]
+        self.admission, self.memory = said["admission"], said["admission"]["memory"]
         self.releases = said["releases"]
-        self.keys, self.usage = said["keys"], Usage(said["keys"]["standing"], said["keys"]["warn"], said["seed"])
+        self.keys, self.seed = said["keys"], said["seed"]
         self.bounds = Bounds(bounds)
         self.terms = Terms(bounds["spare"], bounds["open_events"], bounds["launches_on_a_link"],
                            bounds["links_to_a_host"], bounds["connect"], bounds["idle"], bounds["probe"],
@@ -87,16 +85,6 @@
             said["tells"]["copy"], said["tells"]["crowd"])
 
 
-def manners_of(said):
-    """What the doors go by."""
-    door, bounds = said["admission"], said["bounds"]
-    known = tuple(Known(one["name"], one["places"], one["most"] or 2 * one["places"], tuple(one["addresses"]))
-                  for one in door["known"])
-    return Manners(bounds["connections"], known, door["pace"], door["burst"], door["known_pace"], door["handshakes"],
-                   door["hello"], door["unfinished"], door["idle"], door["stranger_frame"], bounds["frame"],
-                   door["stranger_bytes"], door["strangers_bytes"], door["known_bytes"], said["seed"])
-
-
 def problems_of(said, file):
     """What no single field shows: addresses that are none, doubled names, a number beyond the count."""
     found = []
--- /dev/null
+++ b/cherrydoor/rehearsal/acts.py
@@ -0,0 +1,138 @@
+"""What a conductor does at each step of a day's troubles."""
+
+import asyncio
+import signal
+from typing import Any
+
+from cherrydoor.standin.record import wall
+
+
+class Acts:
+    """Steps by name, do_kill_gateway and so on; the parts are the conductor's."""
+
+    day: dict
+    record: Any
+    farm: Any
+    store: Any
+    list: Any
+    feed: Any
+    crowd: Any
+    keys: Any
+    folder: Any
+    ids: dict
+    rows: dict
+    row: Any
+    doors: dict
+    gateways: dict
+    comes: Any
+    builds: Any
+    like: dict
+    ports: Any
+    replaced: set
+    start_gateways: Any
+
+    async def do_trouble(self, name, on):
+        self.record.add("trouble", fate="begins" if on else "ends", text=name)
+
+    async def do_hosts(self, do, hosts, values):
+        names = {} if hosts is None else {"hosts": [self.ids[h] for h in hosts if h in self.ids]}
+        await self.farm.tell(do, **names, **values)
+
+    async def do_crash(self, host):
+        await self.farm.tell("crash", hosts=[self.ids[host]])
+        await asyncio.sleep(self.day["list"]["miss"] / 1000)
+        state, since, build = self.rows[self.ids[host]]
+        if (await self.farm.tell("who"))[self.ids[host]]["up"] is False:
+            await self.row(host, self.ids[host], "gone", since, build)
+
+    async def do_return(self, host):
+        if host not in self.ids:
+            return
+        [since] = await self.farm.tell("restart", hosts=[self.ids[host]])
+        await self.row(host, self.ids[host], "ready", since, self.rows[self.ids[host]][2])
+
+    async def do_drain(self, host):
+        _, since, build = self.rows[self.ids[host]]
+        await self.row(host, self.ids[host], "draining", since, build)
+        await self.farm.tell("drain", hosts=[self.ids[host]])
+
+    async def do_leave(self, host):
+        _, since, build = self.rows[self.ids[host]]
+        await self.farm.tell("crash", hosts=[self.ids[host]])
+        await self.row(host, self.ids[host], "gone", since, build)
+
+    async def do_join(self, host, like):
+        build = self.builds[self.like[host]]
+        [name] = await self.farm.tell("add", builds=[build], names=[self.ports.take()], cold=True)
+        self.ids[host] = name
+        await self.row(host, name, "ready", wall(), build)
+
+    async def do_store(self, **values):
+        await self.store.tell("set", **values)
+
+    async def do_list(self, on):
+        await self.list.tell("deaf", on=on)
+
+    async def do_flush(self, functions, release):
+        await self.store.tell("release", functions=functions, release=release)
+        await self.farm.tell("flush", functions=functions, release=release)
+
+    async def do_flood(self, per_second):
+        await self.crowd.tell("flood", doors=list(self.doors.values()), per_second=per_second,
+                              tls=self.day["doors"]["tls"])
+
+    async def do_reconnect(self, count):
+        """At the gateways that run, an office's connections beside those that it has."""
+        up = [g for g, (part, _) in self.gateways.items() if part.process.returncode is None]
+        await self.crowd.tell("come back", doors={f"g{g}": self.doors[g] for g in sorted(up)},
+                              offices=self.comes(), count=count)
+
+    async def do_key_change(self, gateways, times):
+        """New certificates one after the other, with a half-written key between two."""
+        for turn in range(times):
+            for number in gateways:
+                if turn:
+                    path = self.folder / "keys" / f"g{number}.key"
+                    path.write_bytes(path.read_bytes()[:80])
+            await asyncio.sleep(0.4 if turn else 0)
+            for number in gateways:
+                self.keys.issue("gateway", f"g{number}", addresses=["127.0.0.1"])
+            await asyncio.sleep(0.4)
+
+    async def do_release(self, functions, version, bad):
+        """A version is announced where there is a feed; where there is none all copies go void, as on other days."""
+        if not self.day["feed"]["gradual"]:
+            return await self.do_flush(functions, version)
+        if bad:
+            await self.farm.tell("bad", functions=[f"{name}@{version}" for name in functions], **bad)
+        await self.feed.tell("release", functions=functions, version=version)
+
+    def mates(self, gateway):
+        part, group = self.gateways[gateway]
+        return part, group
+
+    async def do_kill_gateway(self, gateway):
+        part, group = self.mates(gateway)
+        if part.process.returncode is None:
+            for one in group:
+                self.record.add("gateway killed", f"g{one}")
+            part.signal(signal.SIGKILL)
+            await part.process.wait()
+
+    async def do_start_gateway(self, gateway):
+        part, group = self.mates(gateway)
+        if part.process.returncode is not None and part not in self.replaced:
+            self.replaced.add(part)         # its mates are to be started at the same moment, and come along
+            await self.start_gateways(group)
+
+    async def do_stop_gateway(self, gateway):
+        part, group = self.mates(gateway)
+        for one in group:
+            self.record.add("gateway stopped", f"g{one}")
+        part.signal(signal.SIGSTOP)
+
+    async def do_continue_gateway(self, gateway):
+        part, group = self.mates(gateway)
+        part.signal(signal.SIGCONT)
+        for one in group:
+            self.record.add("gateway continued", f"g{one}")
--- /dev/null
+++ b/cherrydoor/rehearsal/connection.py
@@ -0,0 +1,62 @@
+"""A client's connection to one gateway, made anew for as long as the day lasts."""
+
+import asyncio
+
+from cherrydoor.ends import End
+from cherrydoor.frames import messages as m
+from cherrydoor.standin.crowd import context_of
+from cherrydoor.standin.record import now
+
+
+class Connection:
+    """To one gateway; tried again and again while it is down."""
+
+    def __init__(self, clients, number, address, office, comes):
+        """comes: the address that it comes from ("" for any), and the keys of its TLS ({} for none)."""
+        self.clients, self.number, self.end, self.open, self.office = clients, number, None, {}, office
+        self.host, _, port = address.rpartition(":")
+        self.port, self.leaving = int(port), False
+        self.more = {"ssl": context_of(comes["keys"])}
+        if comes["address"]:
+            self.more["local_addr"] = (comes["address"], 0)
+
+    async def keep(self):
+        while True:
+            try:
+                self.gone, self.begun = asyncio.get_running_loop().create_future(), now()
+                await asyncio.get_running_loop().create_connection(
+                    lambda: End(self, m.TO_CLIENT, self.hello), self.host, self.port, **self.more)
+                await self.gone
+            except OSError as error:
+                self.failed(str(error))
+                await asyncio.sleep(0.1)
+
+    def failed(self, why):
+        self.clients.record.add("connect failed", peer=f"g{self.number}", party=self.office, a=now() - self.begun,
+                                text=why)
+
+    def hello(self):
+        return m.Hello(m.VERSION, "client", f"c{self.number}", now())
+
+    def greeted(self, end, hello):
+        self.end, self.leaving = end, False
+        self.clients.record.add("connected", peer=hello.name, party=self.office, a=now() - self.begun)
+
+    def heard(self, end, message):
+        kind = type(message)
+        if kind is m.Answer:
+            self.clients.answered(self, message)
+        elif kind is m.Leaving:
+            self.leaving = True
+        elif kind is m.Started:
+            self.clients.started(self, message)
+
+    def lost(self, end):
+        if self.end is end:
+            self.end = None
+        if end.reader.fault is None and end.why.startswith("peer: ") and now() - self.begun < 1000:
+            self.failed(end.why)
+        for one in list(self.open.values()):
+            self.clients.cut(self, one)
+        if not self.gone.done():
+            self.gone.set_result(None)
--- a/cherrydoor/standin/command.py
+++ b/cherrydoor/standin/command.py
@@ -10,7 +10,8 @@
 
 from cherrydoor.frames import messages as m
 from cherrydoor.standin.catalogue import Catalogue
-from cherrydoor.standin.host import Build, Farm
+from cherrydoor.standin.copies import Build
+from cherrydoor.standin.farm import Farm
 from cherrydoor.standin.record import Record
 from cherrydoor.standin.roll import Roll
 from cherrydoor.standin.store import Store
--- /dev/null
+++ b/cherrydoor/standin/farm.py
@@ -0,0 +1,87 @@
+"""All hosts of one process, and their connection to the program store."""
+
+import asyncio
+
+from cherrydoor.frames import messages as m
+from cherrydoor.standin.copies import Build
+from cherrydoor.standin.host import Host
+from cherrydoor.standin.record import now
+
+
+class Store:
+    """The farm's connection to the program store; what is asked for twice at once is fetched twice, as by hosts."""
+
+    def __init__(self, farm):
+        self.farm, self.end, self.calls, self.ids = farm, None, {}, 0
+
+    def fetch(self, function, then):
+        self.ids += 1
+        if self.end is None:
+            self.farm.loop.call_later(0.05, then, m.Fetched(0, "error"))
+            return
+        self.calls[self.ids] = then
+        self.end.write(m.Fetch(self.ids, function))
+
+    def greeted(self, end, hello):
+        self.end = end
+
+    def heard(self, end, message):
+        then = self.calls.pop(message.id, None)
+        if then:
+            then(message)
+
+    def lost(self, end):
+        self.end, calls, self.calls = None, self.calls, {}
+        for then in calls.values():
+            then(m.Fetched(0, "error"))
+
+
+class Farm:
+    """All hosts of one process, and what they share only as a model: marks of keyed events by group, and releases."""
+
+    def __init__(self, record, catalogue, seed=1):
+        self.record, self.catalogue, self.seed, self.loop = record, catalogue, seed, asyncio.get_running_loop()
+        self.hosts, self.store, self.marks, self.failing = {}, Store(self), {}, set()
+        self.releases = {}
+        self.bad = {}               # version -> what is wrong with it: parts fail, crash, load_fail; times slow
+
+    async def add(self, name="127.0.0.1:0", build=None, cold=False):
+        host = Host(self, name, build or Build(), f"{self.seed}/{len(self.hosts)}")
+        await host.start(cold=cold)
+        self.hosts[host.id] = host
+        return host
+
+    def sweep(self):
+        for host in self.hosts.values():
+            if host.up:
+                host.sweep()
+        old = now() - 60000
+        self.marks = {k: v for k, v in self.marks.items() if v > old}
+        self.loop.call_later(1.0, self.sweep)
+
+    def facts(self, function):
+        return self.catalogue(function)
+
+    def mean_work(self, function):
+        return self.catalogue(function).work
+
+    def group(self, host, launch):
+        scope = self.scopes.get(launch.clause) if launch.mark else None
+        return scope and {"all": "", "zone": host.build.zone, "cell": f"{host.build.zone}/{host.build.cell}"}[scope]
+
+    scopes: dict = {}           # keyed clause -> all, zone or cell
+
+    def first(self, host, launch):
+        """False where the group remembers the mark: then no effect happens."""
+        group = self.group(host, launch)
+        if group is None:
+            return True
+        at = self.marks.get((group, launch.mark))
+        return at is None or now() - at > host.build.remember
+
+    def effect(self, host, launch):
+        """Notes the mark; True if this run has an effect."""
+        first, group = self.first(host, launch), self.group(host, launch)
+        if first and group is not None:
+            self.marks[group, launch.mark] = now()
+        return first
