Gateways know who is there and hold tasks under numbers that only rise

Need: what one gateway alone may do at a time (take over a lost one's work, run a drain) had no holder that all agree on. Change: cherrydoor/peers (lives, statements merged without regard to order, links to keepers and to the next on a ring of names) and cherrydoor/tenure (keeper and contender, pure; promises in a checksummed file synced before an answer leaves), on by a record in the lease, off and not imported on the platform (import contract). Bad leases (an even number of keepers, one twice, a term shorter than its margins, more witnesses than gateways) are told with file, line and path: checks across fields now have places, too. Proved by a search of every order in a small scope, seeded histories with each guard taken out in turn, and eight stories of four to six processes with a relay of ours on every link (rehearsal/between.py). Found by them and mended: an answer to an earlier round drew out a tenure for which no keeper had promised; a relay in front of a dead gateway hides its refusal, so a close before any word counts as one. Left: measurements of the first holder, and the takeover and drains that need it.

--- a/cherrydoor/cli/commands.py
+++ b/cherrydoor/cli/commands.py
@@ -6,7 +6,7 @@
 
 import click
 
-from cherrydoor.cli import keys, rehearsing, releases, standins
+from cherrydoor.cli import fellows, keys, rehearsing, releases, standins
 from cherrydoor.cli.group import main, problems
 
 
@@ -19,6 +19,7 @@
 def gateway(leases, tied, announce, baseline):
     """Run a gateway until SIGTERM, which has it answer what it holds and leave. SIGHUP checks the lease anew."""
     from cherrydoor.gateway.daemon import main as run
+    from cherrydoor.together import join
     if baseline:
         from cherrydoor.rehearsal.baselines import MAKERS
         make = MAKERS[baseline]
@@ -27,7 +28,7 @@
 
     def tell(name, port):
         print(json.dumps({"is": "door", "gateway": name, "port": port}), flush=True)
-    sys.exit(run(leases, make, tied, tell if announce else None))
+    sys.exit(run(leases, make, tied, tell if announce else None, join))
 
 
 @main.command()
@@ -115,4 +116,4 @@
     sys.exit(0 if all(one["fate"] == "handled" for one in answers) else 1)
 
 
-__all__ = ["keys", "main", "rehearsing", "releases", "standins"]
+__all__ = ["fellows", "keys", "main", "rehearsing", "releases", "standins"]
--- /dev/null
+++ b/cherrydoor/cli/fellows.py
@@ -0,0 +1,72 @@
+"""`cherrydoor tenure`, `peers` and `custody`: what gateways of a fleet do together, asked of one that runs."""
+
+import json
+
+import click
+
+from cherrydoor.cli.group import main, spoken
+
+CONTROL = click.option("--control", required=True, type=click.Path(),
+                       help="The gateway's socket, named by its lease as `peers.control`.")
+JSON = click.option("--json", "as_json", is_flag=True)
+
+
+def rows_of(rows, columns):
+    """Lines of a table; columns: (heading, width, what of a row)."""
+    lines = [" ".join(f"{heading:{width}}" for heading, width, _ in columns)]
+    for row in rows:
+        lines.append(" ".join(f"{what(row)!s:{width}}" for _, width, what in columns))
+    return "\n".join(line.rstrip() for line in lines)
+
+
+@main.group()
+def tenure():
+    """Tasks of the whole fleet that one gateway holds at a time, under a number that only rises."""
+
+
+@tenure.command("show")
+@CONTROL
+@JSON
+def show_tenures(control, as_json):
+    """What this gateway holds and asks for, and what it has promised where it is a keeper."""
+    said = spoken(control, do="tenures")
+    if as_json:
+        return print(json.dumps(said, indent=1))
+    print(f"{said['gateway']}, life {said['life']}; keepers: {' '.join(said['keepers']) or 'none'}")
+    print(rows_of(said["held"], (("held", 40, lambda r: r["task"]), ("number", 8, lambda r: r["number"]),
+                                 ("ms left", 8, lambda r: r["left"]))))
+    for task in said["asked for"]:
+        print(f"{task:40} asked for")
+    if said["keeper"]:
+        kept = said["keeper"]
+        silent = f", silent for {kept['silent']:g} ms more" if kept["silent"] else ""
+        print(f"as a keeper: floor {kept['floor']}{silent}")
+        print(rows_of(kept["promises"], (("promised", 40, lambda r: r["task"]), ("number", 8, lambda r: r["number"]),
+                                         ("holder", 16, lambda r: r["holder"] or "-"),
+                                         ("ms left", 8, lambda r: r["left"]))))
+
+
+@tenure.command("yield")
+@CONTROL
+@JSON
+@click.argument("task")
+def yield_task(control, as_json, task):
+    """Hand TASK over at once; another gateway that asks for it gets it under a higher number."""
+    said = spoken(control, do="yield", task=task)
+    print(json.dumps(said, indent=1) if as_json else f"{task} is handed over")
+
+
+@main.command("peers")
+@CONTROL
+@JSON
+def show_peers(control, as_json):
+    """Who is there as this gateway sees it, and which others are told what it has in hand."""
+    said = spoken(control, do="peers")
+    if as_json:
+        return print(json.dumps(said, indent=1))
+    print(f"{said['gateway']}, life {said['life']}; witnesses: {' '.join(said['witnesses']) or 'none'}")
+    print(rows_of(said["members"], (
+        ("name", 16, lambda r: r["name"]), ("state", 9, lambda r: r["state"]),
+        ("for s", 8, lambda r: r["since"] / 1000), ("linked", 7, lambda r: "yes" if r["linked"] else "no"),
+        ("site", 12, lambda r: r["site"] or "-"),
+        ("life", 14, lambda r: r["life"]), ("at", 22, lambda r: r["at"]))))
--- a/cherrydoor/cli/group.py
+++ b/cherrydoor/cli/group.py
@@ -28,3 +28,21 @@
     else:
         print(error, file=sys.stderr)
     sys.exit(BAD_FILE)
+
+
+def spoken(control, **said):
+    import socket as sockets
+    try:
+        with sockets.socket(sockets.AF_UNIX) as one:
+            one.settimeout(5.0)
+            one.connect(control)
+            one.sendall(json.dumps(said).encode() + b"\n")
+            with one.makefile() as lines:
+                answer = json.loads(lines.readline())
+    except (OSError, ValueError) as error:
+        print(f"no gateway answers at {control}: {error}", file=sys.stderr)
+        sys.exit(2)
+    if "error" in answer:
+        print(answer["error"], file=sys.stderr)
+        sys.exit(1)
+    return answer
--- a/cherrydoor/cli/releases.py
+++ b/cherrydoor/cli/releases.py
@@ -1,11 +1,10 @@
 """`cherrydoor release`: words to a running gateway over its control socket."""
 
 import json
-import sys
 
 import click
 
-from cherrydoor.cli.group import main
+from cherrydoor.cli.group import main, spoken
 
 
 @main.group()
@@ -13,24 +12,6 @@
     """Speak to a running gateway about releases, over the socket that its lease names as `releases.control`."""
 
 
-def spoken(control, **said):
-    import socket as sockets
-    try:
-        with sockets.socket(sockets.AF_UNIX) as one:
-            one.settimeout(5.0)
-            one.connect(control)
-            one.sendall(json.dumps(said).encode() + b"\n")
-            with one.makefile() as lines:
-                answer = json.loads(lines.readline())
-    except (OSError, ValueError) as error:
-        print(f"no gateway answers at {control}: {error}", file=sys.stderr)
-        sys.exit(2)
-    if "error" in answer:
-        print(answer["error"], file=sys.stderr)
-        sys.exit(1)
-    return answer
-
-
 def spoken_command(name, what, about, version=False):
     def act(control, function, as_json=False, **more):
         answer = spoken(control, do=what, **({"function": function} if function else {}), **more)
--- a/cherrydoor/cli/standins.py
+++ b/cherrydoor/cli/standins.py
@@ -52,7 +52,7 @@
 
 
 @main.command("stand-in", hidden=True)
-@click.argument("kind", type=click.Choice(["hosts", "store", "roll", "crowd", "feed", "clients"]))
+@click.argument("kind", type=click.Choice(["hosts", "store", "roll", "crowd", "feed", "clients", "between"]))
 def stand_in(kind):
     """One part of a rehearsal; its figures come as the first line of standard input."""
     said = json.loads(sys.stdin.readline())
@@ -61,6 +61,11 @@
 
         from cherrydoor.rehearsal.clients import play
         uvloop.run(play(said))
+    elif kind == "between":
+        import uvloop
+
+        from cherrydoor.rehearsal.between import play as relay
+        uvloop.run(relay(said))
     else:
         from cherrydoor.standin.command import main as run
         run(kind, said)
--- /dev/null
+++ b/cherrydoor/frames/custody.py
@@ -0,0 +1,63 @@
+"""Work in hand that outlives its gateway: what crosses between clients, gateways and hosts about it.
+
+A *life* is one start of a gateway; `number` is that of the tenure under which its estate is taken over.
+"""
+
+from typing import Annotated, Literal
+
+from msgspec import Meta, Struct
+
+from cherrydoor.frames.basics import Count, Id, Message, Name
+
+
+# ---- client and gateway
+class Reclaim(Message, tag="reclaim"):
+    """The answer of an event whose connection ended without one, asked for at another gateway."""
+    id: Id                      # of this connection
+    gateway: Name               # which had taken it, by the name in its hello ...
+    life: Id
+    event: Id                   # ... and under this id
+    key: Name                   # the event's own
+    lasts: Annotated[float, Meta(gt=0.0, le=1e10)]      # ms from `sent` on, until the client gives up
+    sent: float
+
+
+class Unknown(Message, tag="unknown"):
+    """Nothing is known here of what was claimed, or not by that key; it may have run or not."""
+    id: Id
+    reason: Annotated[str, Meta(max_length=1024)] = ""
+
+
+# ---- gateway and host
+class Over(Message, tag="over"):
+    """That life is over: tell what of its estate you hold or have ended, and refuse what still comes from it."""
+    id: Id
+    gateway: Name
+    life: Id
+    number: Id
+
+
+class Job(Struct, omit_defaults=True, gc=False):
+    """A launch of the estate at a host. `fate` is "" while it is at work; `kept` is false where its answer's body is no
+    longer held."""
+    job: Id                     # the host's own number for it
+    client: Name
+    event: Id
+    number: Count = 0
+    fate: Literal["", "handled", "error", "full", "missing"] = ""
+    body: bytes = b""
+    kept: bool = True
+
+
+class Holds(Message, tag="holds"):
+    """The answer to `over`. highest: the number that the host goes by; above the one asked under, it is a refusal."""
+    id: Id
+    highest: Id
+    jobs: list[Job] = []
+
+
+class Adopt(Message, tag="adopt"):
+    """The outcome of that job goes to the sender, as of a launch under this id."""
+    id: Id
+    job: Id
+
--- a/cherrydoor/frames/messages.py
+++ b/cherrydoor/frames/messages.py
@@ -8,48 +8,26 @@
 
 from msgspec import Meta, Struct
 
-VERSION = 1
-LARGEST = 16 * 2**20            # bytes of one frame's body, unless a hello states less
-
-Id = Annotated[int, Meta(ge=0, le=2**62)]
-Name = Annotated[str, Meta(max_length=256)]
-Span = Annotated[float, Meta(ge=0.0, le=1e10)]
-Time = Annotated[float, Meta(ge=-1e15, le=1e15)]
-Count = Annotated[int, Meta(ge=0, le=2**31)]
-Text = Annotated[str, Meta(max_length=1024)]
-Fate = Literal["handled", "error", "full", "missing"]
-Final = Literal["handled", "deferred", "dead-lettered"]
-State = Literal["ready", "draining", "gone"]
-How = Literal["changes", "whole"]
-Role = Literal["client", "gateway", "host", "store", "list", "feed"]
-
-
-class Message(Struct, tag_field="is", omit_defaults=True, gc=False):
-    """What all messages share: the field `is` names the kind."""
-
-
-# ---- both ways, on every connection
-class Hello(Message, tag="hello"):
-    """First on each connection, from both ends: who speaks, and what it takes."""
-    version: Count
-    role: Role
-    name: Name = ""
-    clock: Time = 0.0           # the sender's clock as it wrote this
-    since: Time = 0.0           # a host's start, 0 elsewhere
-    largest: Count = LARGEST    # the longest body that the sender of this takes
-    most: Count = 0             # events or launches that it takes at once; 0 says nothing
-    token: Annotated[str, Meta(max_length=4096)] = ""       # a client's word on who it is, signed (docs/keys.md)
-
-
-class Fault(Message, tag="fault"):
-    """Last on a connection: why the sender closes it, and how long to stay away."""
-    reason: Text
-    stay_away: Span = 0.0
-
-
-class Leaving(Message, tag="leaving"):
-    """The gateway drains: it takes nothing new, clients go elsewhere."""
-    reason: Text = ""
+from cherrydoor.frames.basics import (
+    ALWAYS,
+    Count,
+    Fate,
+    Fault,
+    Final,
+    Hello,
+    How,
+    Id,
+    Leaving,
+    Message,
+    Name,
+    Span,
+    State,
+    Text,
+    Time,
+)
+from cherrydoor.frames.basics import LARGEST as LARGEST
+from cherrydoor.frames.basics import VERSION as VERSION
+from cherrydoor.frames.custody import Adopt, Holds, Over, Reclaim, Unknown
 
 
 # ---- client to gateway and back
@@ -65,6 +43,7 @@
     load: Span = 0.0            # usual time of a load, 0 where not known
     body: bytes = b""
     document: Name = ""         # by which versions are dealt out
+    key: Name = ""              # by which its answer can be claimed elsewhere; nobody else may guess it
 
 
 class Withdraw(Message, tag="withdraw"):
@@ -96,6 +75,9 @@
     mark: Name = ""
     usual: Span = 0.0           # an event that takes longer is slow, 0 where not known
     body: bytes = b""
+    giver: Name = ""            # the gateway that took the event, where another has taken it over ...
+    life: Id = 0                # ... in which of its starts ...
+    under: Id = 0               # ... and the number of the tenure under which
 
 
 class Recall(Message, tag="recall"):
@@ -213,13 +195,12 @@
 
 ALL = (Hello, Fault, Leaving, Event, Withdraw, Answer, Started, Launch, Recall, Outcome, Underway, Probe, Probed,
        Order, Ordered, Drop, Dropped, Fetch, Fetched, Follow, Ask, Rows, Releases,
-       Heard)
-ALWAYS = (Hello, Fault)
+       Heard, Reclaim, Unknown, Over, Holds, Adopt)
 # What each end takes from each other end; any other kind is unknown there.
-FROM_CLIENT = (*ALWAYS, Event, Withdraw)
-TO_CLIENT = (*ALWAYS, Leaving, Answer, Started)
-TO_HOST = (*ALWAYS, Launch, Recall, Probe, Order, Drop)
-FROM_HOST = (*ALWAYS, Outcome, Underway, Probed, Ordered, Dropped)
+FROM_CLIENT = (*ALWAYS, Event, Withdraw, Reclaim)
+TO_CLIENT = (*ALWAYS, Leaving, Answer, Started, Unknown)
+TO_HOST = (*ALWAYS, Launch, Recall, Probe, Order, Drop, Over, Adopt)
+FROM_HOST = (*ALWAYS, Outcome, Underway, Probed, Ordered, Dropped, Holds)
 TO_STORE = (*ALWAYS, Fetch)
 FROM_STORE = (*ALWAYS, Fetched)
 TO_LIST = (*ALWAYS, Follow, Ask, Heard)
--- a/cherrydoor/gateway/daemon.py
+++ b/cherrydoor/gateway/daemon.py
@@ -46,8 +46,8 @@
 
 
 class Daemon:
-    def __init__(self, paths, make_gate, tied=False, announce=None):
-        self.paths, self.make_gate, self.tied, self.announce = paths, make_gate, tied, announce
+    def __init__(self, paths, make_gate, tied=False, announce=None, join=None):
+        self.paths, self.make_gate, self.tied, self.announce, self.join = paths, make_gate, tied, announce, join
         self.shells, self.terms = [], 0
 
     async def run(self, figures):
@@ -58,7 +58,7 @@
         log.info("descriptors are divided", limit=uses.limit, used=uses.used(), hosts=hosts, places_of_each=places,
                  spare=spare)
         for one in figures:
-            shell = Shell(one, self.make_gate, uses, places)
+            shell = Shell(one, self.make_gate, uses, places, join=self.join)
             self.shells.append(shell)
             try:
                 await shell.start()
@@ -125,7 +125,7 @@
             log.info("the lease is read anew", gateway=new.name)
 
 
-def main(paths, make_gate, tied=False, announce=None):
+def main(paths, make_gate, tied=False, announce=None, join=None):
     """Runs until a signal; returns the exit code."""
     figures, wrong = [], []
     for path in paths:
@@ -136,4 +136,4 @@
     if wrong:
         print("\n".join(wrong), file=sys.stderr)
         return BAD_LEASE
-    return uvloop.run(partial(Daemon(paths, make_gate, tied, announce).run, figures)())
+    return uvloop.run(partial(Daemon(paths, make_gate, tied, announce, join).run, figures)())
--- a/cherrydoor/gateway/shell.py
+++ b/cherrydoor/gateway/shell.py
@@ -24,9 +24,9 @@
 class Shell(Turn):
     """One gateway: its sockets and what goes on between them."""
 
-    def __init__(self, figures, gate, uses=None, places=None, clock=None):
+    def __init__(self, figures, gate, uses=None, places=None, clock=None, join=None):
         """uses: what the process has in use, shared by its gateways; places: connections that there are descriptors
-        for."""
+        for; join: makes its fellows (cherrydoor/together.py), None for a gateway alone."""
         super().__init__(clock or Clock())
         self.figures, self.bounds = figures, figures.bounds
         self.door, self.floor = Door(self), Floor(self)
@@ -41,6 +41,7 @@
         usage = Usage(figures.keys["standing"], figures.keys["warn"], figures.seed)
         self.keeper = Keeper(Where(**said, usage=usage), self.door.put_out)
         self.done = self.loop.create_future()
+        self.join, self.fellows = join or (lambda shell, life=0: None), None
         self.releases = Releases(self, figures.releases) if figures.releases["feed"] else None
         self.desk = self.new_desk()
 
@@ -51,10 +52,13 @@
 
     def hello(self):
         return m.Hello(m.VERSION, "gateway", self.figures.name, self.clock.now(), 0.0, self.bounds.frame,
-                       self.figures.terms.most_open)
+                       self.figures.terms.most_open, life=self.fellows.life if self.fellows else 0)
 
     async def start(self):
         await self.keeper.start()
+        self.fellows = self.join(self)
+        if self.fellows:
+            await self.fellows.start()
         saved = self.roll.read_saved()
         if saved is not None:
             self.post(self.desk.listed, io.SAVED, saved)
@@ -107,6 +111,8 @@
         if self.releases:
             self.releases.close()
         self.roll.task.cancel()
+        if self.fellows:
+            self.fellows.close()
         for end in list(self.door.ends):
             end.close()
         for host in self.desk.hosts.values():
--- a/cherrydoor/lease/figures.py
+++ b/cherrydoor/lease/figures.py
@@ -13,13 +13,13 @@
     return resources.files("cherrydoor.lease").joinpath(name).read_text()
 
 
-def read_file(path, top="#Lease", name="lease.schema"):
+def read_file(path, top="#Lease", name="lease.schema", places=None):
     """The plain value of a file of records; Problems also for a file that cannot be read at all."""
     try:
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise Problems([Problem(str(path), 1, 1, "", "a readable file of UTF-8 text", str(error))]) from None
-    return read(text, str(path), schema(name), top, name)
+    return read(text, str(path), schema(name), top, name, places)
 
 
 def bare(value):
@@ -69,7 +69,7 @@
         self.saved = Path(said["saved"]) if said["saved"] else None
         self.metrics = said["metrics"]
         self.admission, self.memory = said["admission"], said["admission"]["memory"]
-        self.releases = said["releases"]
+        self.releases, self.peers, self.tenures = said["releases"], said["peers"], said["tenures"]
         self.keys, self.seed = said["keys"], said["seed"]
         self.bounds = Bounds(bounds)
         self.terms = Terms(bounds["spare"], bounds["open_events"], bounds["launches_on_a_link"],
@@ -85,13 +85,16 @@
             said["tells"]["copy"], said["tells"]["crowd"])
 
 
-def problems_of(said, file):
+def problems_of(said, file, places=None):
     """What no single field shows: addresses that are none, doubled names, a number beyond the count."""
-    found = []
+    found, places = [], places or {}
 
     def check(good, path, expected, value):
-        if not good:
-            found.append(Problem(file, 1, 1, path, expected, str(value)))
+        if not good:        # where it is said, else where what holds it is
+            parts = path.split(".")
+            above = (places.get(".".join(parts[:n])) for n in range(len(parts), 0, -1))
+            line, column = next((at for at in above if at), (1, 1))
+            found.append(Problem(file, line, column, path, expected, str(value)))
 
     for path in ("door", "list", "metrics"):
         host, _, port = said[path].rpartition(":")
@@ -127,6 +130,7 @@
         check(keyed or clause["group"] == "all", f"clauses.{i}.group",
               "'all' for an event type that is not keyed: no host drops its repeats", repr(clause["group"]))
     mixed(said, check)
+    fellows(said, check)
     return found
 
 
@@ -140,9 +144,40 @@
           "true beside releases.feed: else a release's first loads count as its slowness", "false")
 
 
+def addressed(text):
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isdigit() and int(port) < 65536
+
+
+def fellows(said, check):
+    """What is said of peers and tenures, where a gateway has any."""
+    peers, tenures = said["peers"], said["tenures"]
+    if not peers["door"]:
+        check(not peers["keepers"], "peers.door", "an address:port beside peers.keepers", '""')
+        return
+    names = [one["name"] for one in peers["keepers"]]
+    check(addressed(peers["door"]), "peers.door", "an address:port", repr(peers["door"]))
+    check(not peers["at"] or addressed(peers["at"]), "peers.at", "an address:port", repr(peers["at"]))
+    check(len(names) % 2 == 1, "peers.keepers", "an odd number, so that there is a majority", len(names))
+    check(len(set(names)) == len(names), "peers.keepers", "names that differ", " ".join(names))
+    for i, one in enumerate(peers["keepers"]):
+        check(addressed(one["at"]), f"peers.keepers.{i}.at", "an address:port", repr(one["at"]))
+    check(peers["next"] < said["gateways"], "peers.next", f"fewer than {said['gateways']} gateways: one is this itself",
+          peers["next"])
+    check(2 * peers["beat"] <= peers["silent"], "peers.silent", "at least two beats", f"{peers['silent']:g}ms")
+    check(said["name"] not in names or tenures["promises"], "tenures.promises",
+          "a file, as this gateway is a keeper", '""')
+    lost = tenures["term"] * tenures["drift"] + tenures["margin"]
+    check(tenures["term"] > 2 * lost, "tenures.term", f"more than twice its margins, {2 * lost:g}ms",
+          f"{tenures['term']:g}ms")
+    check(tenures["longest"] >= tenures["term"], "tenures.longest", "no less than tenures.term",
+          f"{tenures['longest']:g}ms")
+
+
 def lease_of(path):
     """The figures of a lease file; Problems names everything that is wrong with it."""
-    said = read_file(path)
-    if found := problems_of(said, str(path)):
+    places: dict = {}
+    said = read_file(path, places=places)
+    if found := problems_of(said, str(path), places):
         raise Problems(found)
     return Figures(said)
--- a/cherrydoor/lease/place.py
+++ b/cherrydoor/lease/place.py
@@ -16,6 +16,7 @@
 
     def __init__(self, file, schema_file):
         self.file, self.schema_file, self.steps, self.problems = file, schema_file, 0, []
+        self.places = {}            # dotted path -> line and column, of what the file itself says
 
     def step(self):
         self.steps += 1
@@ -148,6 +149,8 @@
         self.run.step()
         if self.state == "new":
             self.value()
+        if self.at[0] < SCHEMA:
+            self.run.places[".".join(map(str, self.path))] = self.at
         if self.kind == "record":
             return {name: place.plain() for name, place in self.fields.items() if name[0] not in "#_"}
         if self.kind == "list":
--- a/cherrydoor/lease/records.py
+++ b/cherrydoor/lease/records.py
@@ -15,11 +15,12 @@
 from cherrydoor.lease.text import Problem, Problems, parse, schema_tree
 
 
-def read(text, file="lease", schema="", top="", schema_file="schema"):
+def read(text, file="lease", schema="", top="", schema_file="schema", places=None):
     """The plain value of a file's records.
 
     schema: text of definitions that the file may refer to; top: the definition that the whole file must meet, such as
-    '#Lease'. Raises Problems with everything wrong, each with file, line, column and path.
+    '#Lease'; places: a dict that is given the line and column of each dotted path that the file says. Raises Problems
+    with everything wrong, each with file, line, column and path.
     """
     run, trees = Run(file, schema_file), []
     body = parse(text, file)
@@ -41,4 +42,6 @@
                                                f"{STEPS} steps", "more")]) from None
     if run.problems:
         raise Problems(run.problems)
+    if places is not None:
+        places.update(run.places)
     return value
--- a/cherrydoor/versions/feed.py
+++ b/cherrydoor/versions/feed.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import hashlib
-import json
 from pathlib import Path
 
 import msgspec
@@ -10,6 +9,7 @@
 
 from cherrydoor.ends import End
 from cherrydoor.frames import messages as m
+from cherrydoor.gateway.control import Control
 from cherrydoor.versions import decide as d
 
 log = structlog.get_logger()
@@ -41,28 +41,25 @@
     def __init__(self, shell, said):
         self.shell, self.where = shell, said["feed"]
         self.saved = Path(said["saved"]) if said["saved"] else None
-        self.control = said["control"]
+        self.control = Control(said["control"], self.obey) if said["control"] else None
         self.wall = shell.clock.now         # ms since 1970, never back
         self.versions = d.Versions(self.wall())
-        self.end, self.tasks, self.server, self.told = None, [], None, 0
+        self.end, self.tasks, self.told = None, [], 0
         self.take_back()
 
     async def start(self):
         loop = asyncio.get_running_loop()
         self.tasks = [loop.create_task(self.follow()), loop.create_task(self.beat())]
         if self.control:
-            Path(self.control).unlink(missing_ok=True)
-            self.server = await asyncio.start_unix_server(self.spoken_to, self.control)
-            Path(self.control).chmod(0o600)
+            await self.control.start()
 
     def close(self):
         for task in self.tasks:
             task.cancel()
         if self.end is not None:
             self.end.close()
-        if self.server is not None:
-            self.server.close()
-            Path(self.control).unlink(missing_ok=True)
+        if self.control:
+            self.control.close()
         self.save()
 
     # ---- decisions
@@ -153,21 +150,6 @@
             self.gone.set_result(None)
 
     # ---- the operator
-    async def spoken_to(self, reader, writer):
-        """One JSON object a line, one answer each."""
-        try:
-            while line := await reader.readline():
-                try:
-                    answer = self.obey(json.loads(line))
-                except (ValueError, KeyError, TypeError) as error:
-                    answer = {"error": f"{type(error).__name__}: {error}"}
-                writer.write(json.dumps(answer).encode() + b"\n")
-                await writer.drain()
-        except (ConnectionError, ValueError):
-            pass
-        finally:
-            writer.close()
-
     def obey(self, said):
         what = said["do"]
         if what == "announce":
