--- /dev/null
+++ b/cherrydoor/custody/claims.py
@@ -0,0 +1,61 @@
+"""Answers of estates, kept for whoever may claim them. Pure: no sockets, no clock."""
+
+from collections import Counter
+
+BYTES = 16 * 2**20      # of answers kept; beyond it the oldest goes first
+LATER = 2000.0          # ms after a client's time for which its answer is still kept: clocks and ways differ
+
+
+class Row:
+    """An event of an estate here: its own key, the mark of what may not run beside it, and its answer once known."""
+    __slots__ = ("key", "mark", "until", "answer", "waiting")
+
+    def __init__(self, key, mark, until):
+        self.key, self.mark, self.until, self.answer, self.waiting = key, mark, until, None, []
+
+
+class Claims:
+    """Rows by (giver, life, event, client); each goes when its client's time is over."""
+
+    def __init__(self, size=BYTES):
+        self.size, self.bytes, self.rows, self.counts = size, 0, {}, Counter()
+
+    def expect(self, giver, life, line, mark=b""):
+        trust = line.trust
+        self.rows[giver, life, trust.event, trust.client] = Row(trust.key, mark, line.until)
+
+    def answer(self, giver, life, line, answer):
+        """Those who wait for it, to be told; nobody where it was answered before."""
+        row = self.rows.get((giver, life, line.trust.event, line.trust.client))
+        if row is None or row.answer is not None:
+            return []
+        row.answer, waiting, row.waiting = answer, row.waiting, []
+        self.bytes += len(answer.body)
+        while self.bytes > self.size:
+            oldest = next((k for k, r in self.rows.items() if r.answer is not None and r is not row), None)
+            if oldest is None:
+                break
+            self.counts["answers left out"] += 1
+            self.forget(oldest)
+        return waiting
+
+    def claim(self, giver, life, event, key, who, mark=b""):
+        """(known, its answer or None while it is awaited). By id, or by mark for a plain repeat; without the event's
+        own key nobody hears more than no. An answer can be claimed again: the way back may fail once more."""
+        for (g, of, number, _), row in self.rows.items():
+            named = number == event if not mark else row.mark == mark
+            if (g, of) == (giver, life) and named and key and row.key == key:
+                self.counts["claimed"] += 1
+                if row.answer is None:
+                    row.waiting.append(who)
+                return True, row.answer
+        self.counts["claims of what is not known"] += 1
+        return False, None
+
+    def forget(self, key):
+        row = self.rows.pop(key)
+        self.bytes -= len(row.answer.body) if row.answer else 0
+
+    def tick(self, now):
+        for key in [k for k, row in self.rows.items() if row.until + LATER < now]:
+            self.forget(key)
--- /dev/null
+++ b/cherrydoor/custody/estate.py
@@ -0,0 +1,185 @@
+"""Work in hand as it is entrusted: the giver's side and the witness's. Pure: no sockets, no clock.
+
+A giver tells its witnesses what it has taken and not answered, after the event is on its way to a host, turn by turn. A
+witness keeps the estates of others, life by life, until each event's time is over. Times are ms; `until` is when a
+client's time is over by the clock of whoever holds the record.
+"""
+
+from collections import Counter
+from hashlib import blake2b
+
+from cherrydoor.custody.decide import COST
+from cherrydoor.frames.peers import Entrust, Out
+
+EVENTS, BYTES = 2000, 8 * 2**20         # entrusted at once by one giver; also kept at once of one giver
+
+
+def mark_of(party, clause, mark):
+    """By which a plain repeat of what may not run beside an estate is known, and by nobody else.
+
+    >>> mark_of("c", "file", "m1") == mark_of("c", "file", "m1") != mark_of("c", "file", "m2")
+    True
+    """
+    return blake2b(f"{party}\0{clause}\0{mark}".encode(), digest_size=12).digest()
+
+
+class Giver:
+    """What this gateway has in hand, as its witnesses are told of it. Tables are bounded by EVENTS and BYTES: beyond
+    them what is cheapest to lose is left out first, and counted; each line goes with the event's answer."""
+
+    def __init__(self, life, kinds, events=EVENTS, size=BYTES):
+        self.life, self.kinds, self.events, self.size = life, kinds, events, size
+        self.held = {cost: {} for cost in COST.values()}        # cost -> number -> (Trust, until, [Out])
+        self.where, self.bytes, self.counts = {}, 0, Counter()
+        self.new, self.out, self.over, self.witnesses = {}, [], [], []
+        self.oldest_new = None          # since when something is in hand of which no witness has heard
+
+    def taken(self, now, trust, until):
+        cost = COST[self.kinds[trust.clause].kind]
+        size = len(trust.body)
+        while len(self.where) >= self.events or self.bytes + size > self.size:
+            cheaper = next((c for c in sorted(self.held) if self.held[c] and c < cost), None)
+            if cheaper is None:
+                self.counts[f"left out: {self.kinds[trust.clause].kind}"] += 1
+                return
+            number = next(iter(self.held[cheaper]))
+            self.counts[f"left out: {self.kinds[self.held[cheaper][number][0].clause].kind}"] += 1
+            self.answered(number)
+        self.held[cost][trust.number], self.where[trust.number] = (trust, until, []), cost
+        self.bytes += size
+        self.new[trust.number] = True
+        self.counts["entrusted"] += 1
+        if self.oldest_new is None:
+            self.oldest_new = now
+
+    def launched(self, number, host):
+        if number in self.where:
+            out = Out(number, host)
+            self.held[self.where[number]][number][2].append(out)
+            if number not in self.new:
+                self.out.append(out)
+
+    def answered(self, number):
+        cost = self.where.pop(number, None)
+        if cost is None:
+            return
+        trust, _, _ = self.held[cost].pop(number)
+        self.bytes -= len(trust.body)
+        if not self.new.pop(number, None):      # what no witness has heard of need not be forgotten
+            self.over.append(number)
+
+    def pending(self):
+        return bool(self.new or self.out or self.over)
+
+    def round(self, now, witnesses):
+        """[(witness, Entrust)]: what is new to each, at the end of a turn; a new witness is told the whole."""
+        told = [name for name in witnesses if name in self.witnesses]
+        fresh = [name for name in witnesses if name not in self.witnesses]
+        dropped = [name for name in self.witnesses if name not in witnesses]
+        messages = []
+        if told and self.pending():
+            events = [self.left(now, number) for number in self.new]
+            out = [*self.out, *(o for number in self.new for o in self.held[self.where[number]][number][2])]
+            messages += [(name, Entrust(self.life, witnesses.index(name), False, events, out, self.over))
+                         for name in told]
+        if fresh:
+            events = [self.left(now, number) for number in self.where]
+            out = [o for number, cost in self.where.items() for o in self.held[cost][number][2]]
+            messages += [(name, Entrust(self.life, witnesses.index(name), True, events, out)) for name in fresh]
+        messages += [(name, Entrust(self.life, 0, True)) for name in dropped]
+        if witnesses:
+            self.new, self.out, self.over, self.oldest_new = {}, [], [], None
+        self.witnesses = list(witnesses)
+        return messages
+
+    def unheard(self, name):
+        """A witness is lost from sight: it is told the whole when it is back."""
+        if name in self.witnesses:
+            self.witnesses.remove(name)
+
+    def told(self, number):
+        """Whether a witness may have heard of it: then its answer is an heir's, once this life is over."""
+        return number in self.where and number not in self.new
+
+    def left(self, now, number):
+        trust, until, _ = self.held[self.where[number]][number]
+        trust.lasts = max(0.0, until - now)
+        return trust
+
+
+class Line:
+    """An event of another's estate."""
+    __slots__ = ("trust", "until", "since", "out")
+
+    def __init__(self, trust, until, since):
+        """since: when it was first heard of here, which is when a first launch may have left an effect, or later."""
+        self.trust, self.until, self.since, self.out = trust, until, since, []
+
+
+class Estate:
+    """What one life of one gateway has entrusted here."""
+
+    def __init__(self, giver, life, rank):
+        self.giver, self.life, self.rank, self.lines, self.bytes = giver, life, rank, {}, 0
+
+    @property
+    def task(self):
+        return f"estate/{self.giver}/{self.life}"
+
+
+class Witness:
+    """Estates of others. An estate goes when it is empty and its giver's life goes on or is settled; each line at the
+    latest when its time is over."""
+
+    def __init__(self):
+        self.estates, self.settled, self.counts = {}, {}, Counter()
+
+    def entrusted(self, now, giver, said):
+        key = giver, said.life
+        if key in self.settled or any(g == giver and life > said.life for g, life in self.estates):
+            self.counts["entrusted by a life that is over"] += 1
+            return
+        estate = self.estates.get(key)
+        if estate is None or said.whole:
+            estate = self.estates[key] = Estate(giver, said.life, said.rank)
+        estate.rank = said.rank
+        for trust in said.events:
+            if len(estate.lines) >= EVENTS or estate.bytes + len(trust.body) > BYTES:
+                self.counts["beyond the bound of a giver"] += 1
+                continue
+            estate.lines[trust.number] = Line(trust, now + trust.lasts, now)
+            estate.bytes += len(trust.body)
+        for out in said.out:
+            if out.number in estate.lines:
+                estate.lines[out.number].out.append(out.host)
+        for number in said.over:
+            self.drop(estate, number)
+
+    def drop(self, estate, number):
+        line = estate.lines.pop(number, None)
+        estate.bytes -= len(line.trust.body) if line else 0
+
+    def tick(self, now, states):
+        """(estates to seek, estates to let be). states: name -> (life, state) as members tell it."""
+        seek, leave = [], []
+        for key, estate in list(self.estates.items()):
+            for number in [n for n, line in estate.lines.items() if line.until <= now]:
+                self.drop(estate, number)
+            life, state = states.get(estate.giver, (0, "vanished"))
+            if life > estate.life or life == estate.life and state in ("silent", "vanished", "over"):
+                (seek if estate.lines else leave).append(estate)
+                if not estate.lines:
+                    del self.estates[key]
+            elif life == estate.life and state == "left":
+                del self.estates[key]
+                leave.append(estate)
+            else:
+                leave.append(estate)
+        for key in [k for k, until in self.settled.items() if until <= now]:
+            del self.settled[key]
+        return seek, leave
+
+    def done(self, now, giver, life):
+        """It has been settled by whom it fell to."""
+        self.estates.pop((giver, life), None)
+        self.settled[giver, life] = now + 60000.0
--- a/cherrydoor/custody/fellows.py
+++ b/cherrydoor/custody/fellows.py
@@ -2,19 +2,27 @@
 
 import structlog
 
+from cherrydoor.custody.decide import stay_away
+from cherrydoor.custody.shell import Custody
 from cherrydoor.gateway.control import Control
 from cherrydoor.peers.shell import Peers
 from cherrydoor.tenure.shell import Tenures
 
 log = structlog.get_logger()
+STILL = "it stood still for longer than its witnesses wait"
 
 
 class Fellows:
+    """What a gateway's shell knows of all this: life, start(), turned(), reclaim(), standing(), close(), abort()."""
+
     def __init__(self, shell, life=0):
         said = shell.figures.peers
         self.shell, self.peers = shell, Peers(shell, said, life)
         self.tenures = Tenures(self.peers, shell.figures.tenures)
+        self.custody = Custody(self.peers, self.tenures)
         self.control = Control(said["control"], self.obey) if said["control"] else None
+        self.peers.changed.append(self.seen)
+        self.last, self.silent = self.peers.now(), said["silent"]
 
     @property
     def life(self):
@@ -22,14 +30,40 @@
 
     async def start(self):
         await self.peers.start()
+        self.custody.start()
         if self.control:
             await self.control.start()
         log.info("peers may connect", gateway=self.peers.me.name, at=self.peers.said["door"], life=self.life,
                  keepers=len(self.tenures.keepers))
 
+    def turned(self):
+        self.custody.turned()
+
+    def reclaim(self, end, message):
+        self.custody.reclaim(end, message)
+
+    def seen(self):
+        """After each look at the links: whether others hold this life to be over."""
+        if self.stood_still():
+            return self.shell.life_over(STILL)
+        self.custody.again(None, 0)
+        if self.peers.members.ended:
+            self.shell.life_over("others hold this life to be over")
+
+    def stood_still(self):
+        """Whether this process has just woken from a standstill in which others may have taken over what it had in
+        hand. Asked before anything is done: what it would send until it hears so would be refused."""
+        still = self.peers.now() - self.last
+        self.last = self.peers.now()
+        return still > self.silent and bool(self.custody.giver.where)
+
+    def stay_away(self, number):
+        return stay_away(self.shell.figures.seed + self.life, number)
+
     def close(self):
         """Leaves: what is held is handed over, and everybody linked is told."""
         self.tenures.close()
+        self.custody.close()
         self.peers.close()
         if self.control:
             self.control.close()
@@ -37,27 +71,29 @@
     def abort(self):
         """Ends without a word; the next life begins with its own."""
         self.tenures.abort()
+        self.custody.close()
         self.peers.abort()
         if self.control:
             self.control.close()
 
+    # ---- for operators
     def obey(self, said):
         what = said["do"]
-        if what == "tenures":
-            return self.tenures.table()
         if what == "peers":
             return self.table()
-        if what == "yield":
+        if what == "custody":
+            return self.custody.table()
+        if what in ("yield", "hold"):
             task = str(said["task"])
-            if task not in self.tenures.holding:
+            if what == "hold":
+                self.tenures.hold(task, lambda number: None, lambda number: None)
+            elif task not in self.tenures.holding:
                 return {"error": f"{task} is not held here"}
-            self.tenures.release(task)
-            return self.tenures.table()
-        if what == "hold":
-            task = str(said["task"])
-            self.tenures.hold(task, lambda number: None, lambda number: None)
-            return self.tenures.table()
-        return {"error": f"unknown: {what}"}
+            else:
+                self.tenures.release(task)
+        elif what != "tenures":
+            return {"error": f"unknown: {what}"}
+        return self.tenures.table()
 
     def table(self):
         members, links = self.peers.members, self.peers.links
--- /dev/null
+++ b/cherrydoor/custody/shell.py
@@ -0,0 +1,209 @@
+"""Custody of one gateway: what its desk has in hand told to witnesses, what others entrusted kept, and claims answered.
+
+What is decided is in decide.py, estate.py and claims.py; here bytes and notes are passed on. Nothing here is waited for
+by an event.
+"""
+
+import asyncio
+
+import structlog
+
+from cherrydoor.custody import decide as d
+from cherrydoor.custody.claims import Claims
+from cherrydoor.custody.estate import Giver, Witness, mark_of
+from cherrydoor.custody.heir import Heirs
+from cherrydoor.frames import custody as c
+from cherrydoor.frames import messages as m
+from cherrydoor.frames import peers as p
+
+log = structlog.get_logger()
+LOOK = 0.05             # s between two looks at estates and claims
+MOST_CLAIMS = 5000      # of clients that wait for an heir; beyond it the answer is that nothing is known
+
+
+class Custody:
+    """The desk's port: taken, launched, over, finds, goes_on. turned() is called after each of its turns."""
+
+    def __init__(self, peers, tenures):
+        self.peers, self.tenures, self.shell, self.now = peers, tenures, peers.shell, peers.now
+        self.loop, self.kinds = asyncio.get_running_loop(), {
+            one.name: d.Kind(one.kind, one.group, one.memory, one.stream) for one in self.shell.figures.lease.clauses}
+        self.giver, self.witness, self.claims = Giver(peers.me.life, self.kinds), Witness(), Claims()
+        self.heirs = Heirs(self)
+        self.asked, self.ids, self.timer, self.delays = {}, 0, None, []
+        for kind, what in ((p.Entrust, self.entrusted), (p.Heir, self.heirs.told), (p.Claim, self.claimed),
+                           (p.Claimed, self.answered)):
+            peers.follow(kind, what)
+        tenures.refusing.append(self.refuses)
+
+    def start(self):
+        self.look()
+
+    def close(self):
+        if self.timer:
+            self.timer.cancel()
+
+    def refuses(self, task):
+        """A keeper grants no estate of a life that it hears itself: whoever asks has lost sight of it alone."""
+        kind, _, rest = task.partition("/")
+        name, _, life = rest.rpartition("/")
+        here = kind == "estate" and self.peers.links.recent(name, int(life))
+        return "this life is heard here" if here and self.peers.members.members[name].state == "here" else ""
+
+    # ---- the desk's port
+    def taken(self, taken):
+        event = taken.event
+        if taken.origin is not None or self.kinds[event.clause].stream:
+            return      # of an estate: other witnesses hold it; a stream is answered already as it begins
+        self.giver.taken(self.now(), p.Trust(
+            taken.number, event.id, taken.client.name, event.clause, event.function, 0.0, event.party, event.mark,
+            event.key, event.document, event.lanes, event.load, event.body), taken.until)
+
+    def launched(self, taken, host):
+        self.giver.launched(taken.number, host)
+
+    def over(self, taken):
+        self.giver.answered(taken.number)
+
+    def finds(self, taken):
+        """A plain repeat of what is in an estate that is being taken over, and may not run beside it: its answer is
+        that one's."""
+        event = taken.event
+        if not event.mark or self.kinds[event.clause].kind == d.REDELIVERABLE:
+            return False
+        mark = mark_of(event.party, event.clause, event.mark)
+        found = self.heirs.marked(mark)
+        if found is None:
+            return False
+        taken.adopted = True
+        self.shell.desk.counts["repeats of what an estate holds"] += 1
+        giver, life = found
+        self.ask_heir(p.Claim(0, giver, life, 0, event.key, mark), lambda said: self.shell.post(
+            self.repeat_answered, taken, said))
+        return True
+
+    def repeat_answered(self, taken, said):
+        if not taken.over:
+            known = said is not None and said.known
+            self.shell.desk.answer(taken, m.Answer(
+                taken.event.id, said.fate if known else "dead-lettered", said.stay_away if known else 0.0,
+                said.reason if known else "it may have run at a gateway that is lost", said.body if known else b""))
+
+    def ends(self, taken):
+        """The answer to an event as this life ends, None where it is an heir's to give."""
+        if taken.origin is not None or self.giver.told(taken.number):
+            return None
+        return d.own_end(self.kinds[taken.event.clause], taken.launches)
+
+    def goes_on(self, taken, fate):
+        return d.after_adoption(self.kinds[taken.event.clause], fate)
+
+    # ---- the turn's end
+    def turned(self):
+        if self.giver.pending() or self.giver.witnesses != self.linked():
+            now = self.now()
+            if self.giver.oldest_new is not None and self.linked():
+                self.delays.append(now - self.giver.oldest_new)
+                del self.delays[:-1000]
+            for name, message in self.giver.round(now, self.linked()):
+                self.peers.say(name, message)
+
+    def linked(self):
+        """Witnesses that can be told now, in their order."""
+        links = self.peers.links
+        return [name for name in links.witnesses if links.is_up(name) and name in self.peers.ends]
+
+    # ---- others' estates
+    def entrusted(self, sender, message):
+        self.witness.entrusted(self.now(), sender, message)
+
+    def look(self):
+        now = self.now()
+        self.timer = self.loop.call_later(LOOK, self.look)
+        states = {row.name: (row.life, row.state) for row in self.peers.members.members.values()}
+        seek, leave = self.witness.tick(now, states)
+        for estate in seek:
+            self.tenures.hold(estate.task, lambda number, estate=estate: self.heirs.began(estate, number),
+                              lambda number, estate=estate: self.heirs.ended(estate), estate.rank * d.STAGGER)
+        for estate in leave:
+            if estate.task in self.tenures.wanted and not self.heirs.at_work(estate.task):
+                self.tenures.release(estate.task)
+        self.heirs.look(now)
+        self.claims.tick(now)
+        for name in list(self.giver.witnesses):
+            if name not in self.linked():
+                self.giver.unheard(name)
+        self.turned()
+        for number, (_, until, then) in list(self.asked.items()):
+            if until <= now:
+                del self.asked[number]
+                then(None)
+
+    # ---- claims
+    def reclaim(self, end, message):
+        """A client asks for an answer that another gateway owed it."""
+        def tell(said):
+            if said is None or not said.known:
+                return end.write(c.Unknown(message.id, "nothing is known of it here" if said is None or not said.reason
+                                           else said.reason))
+            end.write(m.Answer(message.id, said.fate, said.stay_away, said.reason, said.body))
+        late = end.client.late(message.sent, self.now())
+        left = message.lasts - late - self.shell.figures.terms.spare
+        self.ask_heir(p.Claim(0, message.gateway, message.life, message.event, message.key), tell, left)
+
+    def ask_heir(self, claim, then, left=5000.0):
+        """then(Claimed) once, or then(None) where nothing comes in time. Where no heir is known yet it is waited for:
+        the claim, not an event."""
+        if left <= 0 or len(self.asked) >= MOST_CLAIMS:
+            return then(None)
+        self.ids += 1
+        claim.id = self.ids
+        self.asked[claim.id] = (claim, self.now() + left, then)
+        self.pass_claim(claim)
+
+    def pass_claim(self, claim):
+        heir = self.heirs.of(claim.gateway, claim.life)
+        if heir == self.peers.me.name:
+            self.loop.call_soon(self.claimed, heir, claim)
+        elif heir is not None and not self.peers.say(heir, claim):
+            self.peers.ask(heir)
+
+    def again(self, giver, life):
+        """An heir is known, or its link is up: claims that wait are passed on."""
+        for claim, _, _ in list(self.asked.values()):
+            if giver is None or (claim.gateway, claim.life) == (giver, life):
+                self.pass_claim(claim)
+
+    def claimed(self, sender, claim):
+        """Another gateway asks for one of its clients."""
+        def tell(answer):
+            self.say_claimed(sender, p.Claimed(claim.id, True, answer.fate, answer.stay_away, answer.reason,
+                                               answer.body))
+        known, answer = self.claims.claim(claim.gateway, claim.life, claim.event, claim.key, tell, claim.mark)
+        if not known:
+            self.say_claimed(sender, p.Claimed(claim.id, False, reason="it was not entrusted, or its key is another"))
+        elif answer is not None:
+            tell(answer)
+
+    def say_claimed(self, to, message):
+        if to == self.peers.me.name:
+            self.loop.call_soon(self.answered, to, message)
+        else:
+            self.peers.say(to, message)
+
+    def answered(self, sender, message):
+        found = self.asked.pop(message.id, None)
+        if found is not None:
+            found[2](message)
+
+    # ---- for operators
+    def table(self):
+        now, giver = self.now(), self.giver
+        kept = [{"giver": one.giver, "life": one.life, "rank": one.rank, "events": len(one.lines), "bytes": one.bytes}
+                for one in self.witness.estates.values()]
+        return {"gateway": self.peers.me.name, "life": self.peers.me.life, "in hand": len(giver.where),
+                "bytes": giver.bytes, "witnesses": giver.witnesses, "counts": dict(giver.counts),
+                "untold ms": round(now - giver.oldest_new, 2) if giver.oldest_new is not None else 0.0,
+                "told after ms": round(sorted(self.delays)[int(len(self.delays) * 0.99)], 2) if self.delays else 0.0,
+                "kept for others": kept, "kept counts": dict(self.witness.counts), "takeovers": self.heirs.table(),
+                "claims": {"rows": len(self.claims.rows), "waiting": len(self.asked), **self.claims.counts}}
--- a/cherrydoor/emulator/play.py
+++ b/cherrydoor/emulator/play.py
@@ -25,7 +25,7 @@
 from cherrydoor.standin.roll import Roll
 from cherrydoor.standin.store import Store
 
-LEFT_OUT = ("flood", "reconnect", "key-change")     # they are of sockets, descriptors and TLS
+LEFT_OUT = ("flood", "reconnect", "key-change", "cut-off", "noise")     # they are of sockets, descriptors and TLS
 
 
 class Spoken:
@@ -51,6 +51,8 @@
     def __init__(self, day, folder, tell=lambda text: None):
         if day["doors"]["tls"]:
             day = day | {"doors": day["doors"] | {"tls": False}}
+        if day.get("fellows", {}).get("between"):
+            day = day | {"fellows": day["fellows"] | {"between": False}}
         super().__init__(day | {"without": [*day.get("without", ()), *LEFT_OUT]}, folder, tell)
         self.world: Any = asyncio.get_running_loop()
         self.records, self.shells = [self.record], {}
--- a/cherrydoor/frames/custody.py
+++ b/cherrydoor/frames/custody.py
@@ -7,8 +7,11 @@
 
 from msgspec import Meta, Struct
 
+from cherrydoor.frames import messages
 from cherrydoor.frames.basics import Count, Id, Message, Name
 
+LIFE_OVER = "that life is over"     # a host's word, in a fault, to a gateway whose estate has been taken over
+
 
 # ---- client and gateway
 class Reclaim(Message, tag="reclaim"):
@@ -61,3 +64,9 @@
     id: Id
     job: Id
 
+
+# What each end takes from each other end, beside what it always took.
+FROM_CLIENT = (*messages.FROM_CLIENT, Reclaim)
+TO_CLIENT = (*messages.TO_CLIENT, Unknown)
+TO_HOST = (*messages.TO_HOST, Over, Adopt)
+FROM_HOST = (*messages.FROM_HOST, Holds)
--- a/cherrydoor/frames/messages.py
+++ b/cherrydoor/frames/messages.py
@@ -27,7 +27,6 @@
 )
 from cherrydoor.frames.basics import LARGEST as LARGEST
 from cherrydoor.frames.basics import VERSION as VERSION
-from cherrydoor.frames.custody import Adopt, Holds, Over, Reclaim, Unknown
 
 
 # ---- client to gateway and back
@@ -195,12 +194,12 @@
 
 ALL = (Hello, Fault, Leaving, Event, Withdraw, Answer, Started, Launch, Recall, Outcome, Underway, Probe, Probed,
        Order, Ordered, Drop, Dropped, Fetch, Fetched, Follow, Ask, Rows, Releases,
-       Heard, Reclaim, Unknown, Over, Holds, Adopt)
+       Heard)
 # What each end takes from each other end; any other kind is unknown there.
-FROM_CLIENT = (*ALWAYS, Event, Withdraw, Reclaim)
-TO_CLIENT = (*ALWAYS, Leaving, Answer, Started, Unknown)
-TO_HOST = (*ALWAYS, Launch, Recall, Probe, Order, Drop, Over, Adopt)
-FROM_HOST = (*ALWAYS, Outcome, Underway, Probed, Ordered, Dropped, Holds)
+FROM_CLIENT = (*ALWAYS, Event, Withdraw)
+TO_CLIENT = (*ALWAYS, Leaving, Answer, Started)
+TO_HOST = (*ALWAYS, Launch, Recall, Probe, Order, Drop)
+FROM_HOST = (*ALWAYS, Outcome, Underway, Probed, Ordered, Dropped)
 TO_STORE = (*ALWAYS, Fetch)
 FROM_STORE = (*ALWAYS, Fetched)
 TO_LIST = (*ALWAYS, Follow, Ask, Heard)
--- a/cherrydoor/frames/peers.py
+++ b/cherrydoor/frames/peers.py
@@ -121,6 +121,7 @@
     life: Id
     event: Id
     key: Name
+    mark: Digest = b""          # of a plain repeat, in place of the event's id
 
 
 class Claimed(Message, tag="claimed"):
--- /dev/null
+++ b/cherrydoor/gateway/alarms.py
@@ -0,0 +1,53 @@
+"""The desk's turn: inputs, notes to the module, its actions, and what falls due. No I/O, no clock."""
+
+from heapq import heappop, heappush
+from typing import Any
+
+
+class Alarms:
+    """One queue of inputs, one of notes, one heap of alarms; each is emptied by turns."""
+
+    gate: Any
+    now: float
+    numbers: int
+    inputs: list
+    notes: Any
+    alarms: list
+    carry: dict
+    overdue: Any
+
+    def post(self, what, *args):
+        """Queues an input; True if a turn has to be asked for."""
+        self.inputs.append((what, args))
+        return len(self.inputs) == 1
+
+    def turn(self, now):
+        """One now for everything that has come in. What has come goes before what has run out of time."""
+        self.now = now = max(now, self.now)
+        inputs, self.inputs = self.inputs, []
+        for what, args in inputs:
+            what(*args)
+        self.tell()
+        while self.alarms and self.alarms[0][0] <= now:
+            _, _, what, args = heappop(self.alarms)
+            what(*args)
+            self.tell()
+
+    def tell(self):
+        while self.notes:
+            self.carry_out(self.gate.take(self.now, self.notes.popleft()))
+
+    def carry_out(self, actions):
+        for action in actions:
+            self.carry[type(action)](action)
+
+    def alarm(self, at, what, *args):
+        self.numbers += 1
+        heappush(self.alarms, (at, self.numbers, what, args))
+
+    def next_alarm(self):
+        """When to turn next; what belongs to events that are over is dropped here, not waited for."""
+        alarms = self.alarms
+        while alarms and alarms[0][2] == self.overdue and alarms[0][3][0].over and not alarms[0][3][0].out:
+            heappop(alarms)
+        return alarms[0][0] if alarms else None
--- a/cherrydoor/gateway/books.py
+++ b/cherrydoor/gateway/books.py
@@ -21,22 +21,25 @@
     """An event from its arrival to its final answer and the last of its launches."""
 
     __slots__ = ("number", "event", "client", "until", "launches", "out", "over", "streams", "at", "told",
-                 "function")
+                 "function", "origin", "adopted")
 
     def __init__(self, number, event, client, until, at):
         self.number, self.event, self.client, self.until, self.at = number, event, client, until, at
         self.launches, self.out, self.over, self.streams, self.told = [], 0, False, False, ""
         self.function = event.function      # the version that the module knows it by
+        self.origin = None          # (gateway, life, number) of whom it was taken over from, under which tenure
+        self.adopted = False        # a launch of another gateway is still at work: the module does not know of it
 
 
 class Sent:
     """A launch, a probe or an order that a host owes an end; `kind` is the note's type that will tell it."""
 
-    __slots__ = ("kind", "id", "at", "link", "taken", "index", "function", "fate", "called")
+    __slots__ = ("kind", "id", "at", "link", "taken", "index", "function", "fate", "called", "then")
 
-    def __init__(self, kind, number, at, link, taken=None, index=0, function=""):
+    def __init__(self, kind, number, at, link, taken=None, index=0, function="", then=None):
         self.kind, self.id, self.at, self.link, self.taken = kind, number, at, link, taken
         self.index, self.function, self.fate, self.called = index, function, None, function
+        self.then = then            # of a question beside the module: told (host, fate, message) once
 
 
 class Link:
--- a/cherrydoor/gateway/desk.py
+++ b/cherrydoor/gateway/desk.py
@@ -7,16 +7,17 @@
 """
 
 from collections import Counter, deque
-from heapq import heappop, heappush
 
 from cherrydoor import interface as io
 from cherrydoor.frames import messages as m
+from cherrydoor.gateway.alarms import Alarms
 from cherrydoor.gateway.books import Client as Client
 from cherrydoor.gateway.books import Sent, Taken
+from cherrydoor.gateway.inheritance import Inheritance
 from cherrydoor.gateway.links import Links
 
 
-class Desk(Links):
+class Desk(Alarms, Links, Inheritance):
     """One gateway's events, launches and links. Tables: `taken` empties with final answers, `hosts` when gone and
     unlinked, `alarms` within the longest max age, links with their use."""
 
@@ -31,46 +32,10 @@
         self.carry = {io.Launch: self.launch, io.Recall: self.recall, io.Defer: self.defer,
                       io.DeadLetter: self.dead_letter, io.Ring: self.ring, io.Probe: self.probe,
                       io.Order: self.order, io.Subscribe: self.subscribe, io.Log: self.log}
+        self.custody = None         # told of what is in hand, where it outlives this gateway (custody/shell.py)
         self.carry_out(gate.start(now))
         self.alarm(now + terms.idle / 10, self.tidy)
 
-    # ---- the turn
-    def post(self, what, *args):
-        """Queues an input; True if a turn has to be asked for."""
-        self.inputs.append((what, args))
-        return len(self.inputs) == 1
-
-    def turn(self, now):
-        """One now for everything that has come in. What has come goes before what has run out of time."""
-        self.now = now = max(now, self.now)
-        inputs, self.inputs = self.inputs, []
-        for what, args in inputs:
-            what(*args)
-        self.tell()
-        while self.alarms and self.alarms[0][0] <= now:
-            _, _, what, args = heappop(self.alarms)
-            what(*args)
-            self.tell()
-
-    def tell(self):
-        while self.notes:
-            self.carry_out(self.gate.take(self.now, self.notes.popleft()))
-
-    def carry_out(self, actions):
-        for action in actions:
-            self.carry[type(action)](action)
-
-    def alarm(self, at, what, *args):
-        self.numbers += 1
-        heappush(self.alarms, (at, self.numbers, what, args))
-
-    def next_alarm(self):
-        """When to turn next; what belongs to events that are over is dropped here, not waited for."""
-        alarms = self.alarms
-        while alarms and alarms[0][2] == self.overdue and alarms[0][3][0].over and not alarms[0][3][0].out:
-            heappop(alarms)
-        return alarms[0][0] if alarms else None
-
     # ---- the door
     def came_in(self, client, hello):
         client.name = hello.name
@@ -98,15 +63,29 @@
         elif len(self.taken) >= self.terms.most_open:
             self.refuse(client, event, "as many events are open as may be", self.terms.stay)
         else:
-            self.numbers += 1
-            taken = Taken(self.numbers, event, client, until, self.now)
-            self.taken[taken.number] = client.open[event.id] = taken
-            self.counts["taken"] += 1
-            self.alarm(until, self.overdue, taken)
-            if self.versions is not None:
-                taken.function = self.versions.choose(event.function, event.document or event.mark or client.name)
-            self.notes.append(io.Arrival(taken.number, event.clause, event.party, taken.function, until,
-                                         event.lanes, event.load))
+            taken = self.hold(client, event, until)
+            if self.custody is None or not self.custody.finds(taken):
+                self.arrived(taken)
+
+    def hold(self, client, event, until):
+        """From here on it is owed an answer by then."""
+        self.numbers += 1
+        taken = Taken(self.numbers, event, client, until, self.now)
+        self.taken[taken.number] = client.open[event.id] = taken
+        self.counts["taken"] += 1
+        self.alarm(until, self.overdue, taken)
+        return taken
+
+    def arrived(self, taken):
+        """The module is told of it."""
+        event = taken.event
+        taken.adopted, taken.launches = False, []
+        if self.versions is not None:
+            taken.function = self.versions.choose(event.function, event.document or event.mark or taken.client.name)
+        self.notes.append(io.Arrival(taken.number, event.clause, event.party, taken.function, taken.until,
+                                     event.lanes, event.load))
+        if self.custody is not None:
+            self.custody.taken(taken)
 
     def refuse(self, client, event, reason, stay, fate="deferred"):
         self.counts[f"untaken: {reason}"] += 1
@@ -140,6 +119,8 @@
         """The one place where an event becomes over."""
         taken.over = True
         taken.client.open.pop(taken.event.id, None)
+        if self.custody is not None:
+            self.custody.over(taken)
         self.forget(taken)
 
     def forget(self, taken):
@@ -157,7 +138,7 @@
                 self.cut(sent, io.NO_ANSWER)
         self.tell()
         if not taken.over:      # guards rule 1 against a module that forgets; counted, for it should never be
-            self.counts["answered for the module"] += 1
+            self.counts["answered for the module" if not taken.adopted else "time up at what was adopted"] += 1
             self.answer(taken, m.Answer(taken.event.id, "dead-lettered", 0.0, "the time is up"))
             self.notes.append(io.ClientLeft(taken.number))
 
@@ -182,7 +163,9 @@
                 sent.called = self.versions.again(taken.function)
             usual = self.versions.usual(event.function)
         self.send(host, sent, m.Launch(sent.id, event.id, taken.client.name, event.clause, sent.called, limit,
-                                       index, event.mark, usual, event.body))
+                                       index, event.mark, usual, event.body, *(taken.origin or ())))
+        if self.custody is not None:
+            self.custody.launched(taken, host.id)
         self.counts["launches"] += 1
         if action.limit and self.now + limit < taken.until:
             self.alarm(self.now + limit, self.cut, sent, io.NO_ANSWER)
--- a/cherrydoor/gateway/door.py
+++ b/cherrydoor/gateway/door.py
@@ -7,6 +7,7 @@
 from cherrydoor.admission import decide as d
 from cherrydoor.admission.listener import CHUNK, Read
 from cherrydoor.ends import End, Some
+from cherrydoor.frames import custody
 from cherrydoor.frames import messages as m
 from cherrydoor.gateway.desk import Client
 from cherrydoor.keys import decide as k
@@ -16,6 +17,7 @@
 
 HELLO = 8192        # bytes of the longest hello that is read
 EASE, LONGEST_EASE = 0.1, 30.0      # s between looks at whether a connection that is to end has anything open
+UNREAD = 0.05       # s in which what had come before a life was over is read
 QUIET = 250.0       # ms without a word from a client before its connection is closed on it
 
 
@@ -23,9 +25,9 @@
     """A client at the door: at first only a short hello is read from it."""
 
     def __init__(self, shell, arrival):
-        super().__init__(shell.door, m.FROM_CLIENT, shell.hello, shell.bounds.client_bytes, HELLO)
+        super().__init__(shell.door, custody.FROM_CLIENT, shell.hello, shell.bounds.client_bytes, HELLO)
         self.reader.halts, self.arrival, self.chunk = True, arrival, bytearray(CHUNK)
-        self.client = Client(self)
+        self.client, self.stay = Client(self), None
         arrival.caller.open = self.client.open
 
     def connection_made(self, transport):
@@ -67,6 +69,8 @@
     def heard(self, end, message):
         shell = self.shell
         if end not in self.ends:
+            if end.stay is not None and type(message) is m.Event:
+                end.write(m.Answer(message.id, "deferred", end.stay, "this gateway's life is over"))
             return
         if type(message) is m.Event:
             shell.post(shell.desk.came, end.client, message)
@@ -75,8 +79,19 @@
             group.read += 1
             if group.allowed is not None and group.read >= group.allowed and not group.paused:
                 shell.hall.post(d.Poured(caller))
-        else:
+        elif type(message) is m.Withdraw:
             shell.post(shell.desk.withdrawn, end.client, message.id)
+        elif shell.fellows:
+            shell.fellows.reclaim(end, message)
+        else:
+            end.write(custody.Unknown(message.id, "this gateway is alone"))
+
+    def let_go(self, end, why, stay):
+        """Ends a connection of a life that is over: what is still read on it was never taken, and is deferred."""
+        self.ends.discard(end)
+        self.shell.keeper.post(k.Left(end))
+        end.stay = stay
+        asyncio.get_running_loop().call_later(UNREAD, end.close, why, stay)
 
     def put_out(self, end, why, at_once, since=None):
         """Ends a connection whose keys are out of service. Unless at once the client is told to go elsewhere, and it
--- a/cherrydoor/gateway/floor.py
+++ b/cherrydoor/gateway/floor.py
@@ -5,7 +5,7 @@
 import structlog
 
 from cherrydoor.ends import End
-from cherrydoor.frames import codec
+from cherrydoor.frames import codec, custody
 from cherrydoor.frames import messages as m
 from cherrydoor.gateway.turn import dial
 
@@ -16,8 +16,8 @@
     """A connection to a host."""
 
     def __init__(self, shell, link):
-        super().__init__(shell.floor, m.FROM_HOST, shell.hello, shell.bounds.host_bytes, shell.bounds.frame)
-        self.link = link
+        super().__init__(shell.floor, custody.FROM_HOST, shell.hello, shell.bounds.host_bytes, shell.bounds.frame)
+        self.link, self.life = link, shell.fellows.life if shell.fellows else 0
 
     def connection_made(self, transport):
         super().connection_made(transport)
@@ -53,4 +53,6 @@
         self.shell.post(self.shell.desk.heard, end.link, m.Outcome(message.id, "full"))
 
     def lost(self, end):
+        if custody.LIFE_OVER in end.why and self.shell.fellows and self.shell.fellows.life == end.life:
+            return self.shell.life_over("a host refuses it")
         self.shell.post(self.shell.desk.unlinked, end.link)
--- a/cherrydoor/gateway/links.py
+++ b/cherrydoor/gateway/links.py
@@ -19,6 +19,7 @@
     terms: Any
     dial: Any
     ended: Any
+    give_up: Any
     versions: Any
     hosts: dict
     notes: Any
@@ -26,6 +27,8 @@
     alarm: Any
     now: float
     numbers: int
+    custody: Any
+    came_to_nothing: Any
 
     def ask(self, name, kind, function, wait, message, *values):
         """A probe or an order: exactly one note comes back."""
@@ -64,7 +67,7 @@
         link.state, link.wire, link.heard = OPEN, wire, self.now
         waiting, link.waiting = link.waiting, []
         for message in waiting:
-            if link.host.row.state == "ready":
+            if link.host.row.state == "ready" or type(message) not in (m.Launch, m.Order, m.Probe):
                 wire.write(message)
             else:       # guards drains: what waited for the connection does not go out late
                 self.unsent(link, message.id)
@@ -87,7 +90,10 @@
         link.state, link.waiting = SHUT, []
         link.host.links.remove(link)
         self.counts[f"links: {fate}"] += bool(link.out)
-        for sent in list(link.out.values()):
+        out = list(link.out.values())
+        if fate == io.LOST and self.custody is not None and out:
+            self.give_up(link.host, [sent.id for sent in out if sent.kind is io.Outcome])
+        for sent in out:
             self.done(sent, fate)
 
     def greeted(self, link, hello):
@@ -104,6 +110,8 @@
         link.mute = False
         sent = link.out.get(message.id)
         kind = sent and sent.kind
+        if sent is not None and sent.then is not None:
+            return self.done(sent, io.HANDLED, message)
         if kind is io.Outcome and type(message) is m.Outcome:
             self.done(sent, message.fate, message)
         elif kind is io.Outcome and type(message) is m.Underway:
@@ -153,7 +161,9 @@
         if sent.link:
             sent.link.out.pop(sent.id, None)
         name = sent.link.host.id if sent.link else ""
-        if sent.kind is io.Probed:
+        if sent.then is not None:
+            sent.then(name, fate, message)
+        elif sent.kind is io.Probed:
             self.notes.append(io.Probed(name, fate, took))
         elif sent.kind is io.Loaded:
             self.notes.append(io.Loaded(sent.function, name, fate, message.copies if message else 0, took))
@@ -162,11 +172,13 @@
             self.landed(sent, fate, took, name, message)
 
     def landed(self, sent, fate, took, name, message):
-        taken = sent.taken
+        taken, adopted = sent.taken, sent.taken.adopted
         taken.out -= 1
         broken = taken.streams and fate != io.HANDLED
         if not taken.over and fate == io.HANDLED:
             self.answer(taken, m.Answer(taken.event.id, "handled", 0.0, "", message.body))
+        elif not taken.over and taken.adopted:
+            self.came_to_nothing(taken, fate)
         elif not taken.over and broken:
             self.answer(taken, m.Answer(taken.event.id, "dead-lettered", 0.0, "the stream broke"))
         copy = message.copy if message else 0
@@ -176,7 +188,8 @@
                                message.tally if message else None, taken.event.party))
             if sent.called != taken.function:       # what it says of copies is of another version than the module's
                 told = (None, None, *told[2:])
-        self.notes.append(io.Outcome(taken.number, sent.index, fate, taken.over, name, took, *told))
+        if not adopted:     # the module knows nothing of it
+            self.notes.append(io.Outcome(taken.number, sent.index, fate, taken.over, name, took, *told))
         self.forget(taken)
 
     def told_by(self, outcome):
--- a/cherrydoor/gateway/shell.py
+++ b/cherrydoor/gateway/shell.py
@@ -9,6 +9,7 @@
 from cherrydoor.admission.listener import Hall, Listener, Uses
 from cherrydoor.admission.manners import manners_of
 from cherrydoor.frames import messages as m
+from cherrydoor.gateway.books import SHUT
 from cherrydoor.gateway.desk import Desk
 from cherrydoor.gateway.door import ClientEnd, Door
 from cherrydoor.gateway.floor import Floor
@@ -56,9 +57,7 @@
 
     async def start(self):
         await self.keeper.start()
-        self.fellows = self.join(self)
-        if self.fellows:
-            await self.fellows.start()
+        await self.meet(self.join(self))
         saved = self.roll.read_saved()
         if saved is not None:
             self.post(self.desk.listed, io.SAVED, saved)
@@ -69,11 +68,26 @@
                                 (lambda: self.keeper.server) if self.keeper.sealed else None)
         self.set_timer()
 
+    async def meet(self, fellows):
+        """From here on what is in hand outlives this gateway, where it has fellows."""
+        self.fellows = fellows
+        if fellows:
+            self.desk.custody = fellows.custody
+            await fellows.start()
+
+    def turn(self):
+        if self.fellows and self.fellows.stood_still():
+            self.asked = False
+            return self.life_over("it stood still")
+        super().turn()
+
     def listen(self, where, make, context):
         """Opens the door; its port."""
         return Listener(self.hall, where, make, context).port
 
     def turned(self):
+        if self.fellows:
+            self.fellows.turned()
         if self.desk.draining is not None and not self.desk.taken and not self.done.done():
             self.done.set_result(0)
 
@@ -82,17 +96,46 @@
         be if the process had died, and the list is all that is kept."""
         self.broken += 1
         log.critical("a fault in the decisions; starting anew", gateway=self.figures.name, exc_info=True)
-        old, rows = self.desk, self.desk.rows()
+        self.begin_again(lambda end: end.abort("the gateway starts anew"))
+        if self.broken > 5 and not self.done.done():
+            self.done.set_result(70)
+
+    def begin_again(self, cut):
+        old, rows, fellows = self.desk, self.desk.rows(), self.fellows
         for end in list(self.door.ends):
-            end.abort("the gateway starts anew")
+            end.client.open.clear()     # what is told of it from here on is told to the next desk, which has none of it
+            cut(end)
         for host in old.hosts.values():
             for link in host.links:
+                link.state, link.out = SHUT, {}
                 if link.wire is not None:
                     link.wire.abort()
         self.desk = self.new_desk()
         self.post(self.desk.listed, io.SAVED, rows)
-        if self.broken > 5 and not self.done.done():
-            self.done.set_result(70)
+        if fellows:
+            fellows.abort()
+            self.fellows = None
+            doubled = fellows.peers.members.doubled
+            anew = None if doubled else self.join(self, max(fellows.life + 1, int(self.clock.now())))
+            self.loop.create_task(self.meet(anew))
+        if old.draining is not None:
+            self.post(self.desk.drain, old.draining)
+
+    def life_over(self, why):
+        """Others have taken over what this gateway had in hand, or may have: it answers none of it, tells its clients
+        to come back one after the other, and goes on as a new life. A name that another process goes by is left to
+        that one: this gateway is then alone."""
+        fellows = self.fellows
+        if not fellows:
+            return
+        log.error("this life is over; beginning another", gateway=self.figures.name, life=fellows.life, why=why,
+                  events=len(self.desk.taken))
+        stays = {end: fellows.stay_away(number) for number, end in enumerate(self.door.ends)}
+        for taken in list(self.desk.taken.values()):
+            said = None if taken.over else fellows.custody.ends(taken)
+            if said is not None:
+                taken.client.wire.write(m.Answer(taken.event.id, said[0], stays.get(taken.client.wire, 0.0), said[1]))
+        self.begin_again(lambda end: self.door.let_go(end, "this gateway's life is over", stays[end]))
 
     def drain(self, reason):
         if self.desk.draining is None:
--- a/cherrydoor/rehearsal/acts.py
+++ b/cherrydoor/rehearsal/acts.py
@@ -30,6 +30,8 @@
     ports: Any
     replaced: set
     start_gateways: Any
+    between: Any
+    relayed: Any
 
     async def do_trouble(self, name, on):
         self.record.add("trouble", fate="begins" if on else "ends", text=name)
@@ -63,13 +65,24 @@
 
     async def do_join(self, host, like):
         build = self.builds[self.like[host]]
-        [name] = await self.farm.tell("add", builds=[build], names=[self.ports.take()], cold=True)
+        name = self.ports.take()
+        binds = [await self.relayed(name)] if self.between else None
+        [name] = await self.farm.tell("add", builds=[build], names=[name], cold=True, binds=binds)
         self.ids[host] = name
         await self.row(host, name, "ready", wall(), build)
 
     async def do_store(self, **values):
         await self.store.tell("set", **values)
 
+    async def do_cut(self, gateways, on):
+        """From all peers and hosts, both ways; the record says of whom, for the judge."""
+        for gateway in gateways:
+            self.record.add("gateway cut off" if on else "gateway reached", f"g{gateway}")
+            await self.between.tell("set", origin=f"g{gateway}", to="*", both=True, cut=on)
+
+    async def do_noise(self, values):
+        await self.between.tell("set", origin="g*", to="g*", **values)
+
     async def do_list(self, on):
         await self.list.tell("deaf", on=on)
 
--- a/cherrydoor/rehearsal/answers.py
+++ b/cherrydoor/rehearsal/answers.py
@@ -6,6 +6,8 @@
 
 NEAR = 150.0                # ms around the end of a client's time in which what a process waited for a core counts
 
+WOKE = 5000.0               # ms after a gateway wakes or is reached again within which it may learn that it is over
+
 
 class Answers:
     """Events as clients had them answered; what was seen is the audit's."""
@@ -16,6 +18,7 @@
     launches: Any
     down: Any
     stopped: Any
+    cut_off: Any
     waits: Any
     within: Any
     broke: Any
@@ -53,6 +56,8 @@
         elif end and end["what"] == "cut":
             if self.within(self.down, gateway, end["t"], SLACK):
                 self.excused["held by a gateway that was killed"] += 1
+            elif any(self.within(spans, gateway, end["t"], WOKE) for spans in (self.stopped, self.cut_off)):
+                self.excused["held by a gateway whose life was over"] += 1
             else:
                 self.broke(1, end["t"], "a connection closed on an event not answered", gateway, number)
         elif self.within(self.stopped, gateway, until, SLACK):
--- a/cherrydoor/rehearsal/audit.py
+++ b/cherrydoor/rehearsal/audit.py
@@ -12,12 +12,13 @@
 
 from cherrydoor.rehearsal.answers import Answers
 from cherrydoor.rehearsal.effects import Effects
+from cherrydoor.rehearsal.estates import Estates
 from cherrydoor.rehearsal.seen import SLACK, Break, Seen, key
 from cherrydoor.rehearsal.seen import Unreadable as Unreadable
 from cherrydoor.rehearsal.service import Service
 
 
-class Audit(Answers, Effects, Service):
+class Audit(Answers, Effects, Estates, Service):
 
     def __init__(self, folder):
         self.seen = seen = Seen(Path(folder) / "traffic" if (Path(folder) / "traffic").exists() else folder)
@@ -30,7 +31,7 @@
         self.breaks, self.excused, self.crowded = [], Counter(), []
         self.sent = {row["id"]: row for row in seen.of("client", "sent")}
         self.ends = defaultdict(list)           # event -> what the client saw of its end, in order
-        for what in ("answer", "gave up", "withdrew", "cut", "started"):
+        for what in ("answer", "gave up", "withdrew", "cut", "started", "not known"):
             for row in seen.of("client", what):
                 self.ends[row["event"]].append(row)
         for rows in self.ends.values():
@@ -41,6 +42,7 @@
         self.outcomes = {key(r): r for r in seen.of("host", "outcome")}
         self.down = self.spans("gateway killed", "gateway up")
         self.stopped = self.spans("gateway stopped", "gateway continued")
+        self.cut_off = self.spans("gateway cut off", "gateway reached")
         self.waits = defaultdict(list)          # part -> (when, ms without a core); "" where all stood still
         for what, name in (("waited", None), ("paused", "")):
             for row in seen.of("conductor", what):
@@ -157,7 +159,7 @@
                 "event": one.event}
 
     def report(self):
-        for rule in (self.rule_1, self.rule_2, self.rule_3, self.rule_4, self.rule_5):
+        for rule in (self.rule_1, self.rule_2, self.rule_3, self.rule_4, self.rule_5, self.estates):
             rule()
         served, seconds = self.service()
         seen, reasons = self.seen, Counter()
@@ -194,7 +196,7 @@
                 "most at once": int(max((r["a"] for r in seen.of("store", "fetch")), default=0.0))},
             "doors": self.doors(), "during": {kind: one for kind in sorted({t["what"] for t in troubles})
                                              if (one := self.during(kind))},
-            "line": line, "troubles": troubles, "warm": self.warm}
+            "taken over": self.taken_over(), "line": line, "troubles": troubles, "warm": self.warm}
 
 
 def audit(folder):
--- a/cherrydoor/rehearsal/between.py
+++ b/cherrydoor/rehearsal/between.py
@@ -95,6 +95,8 @@
                 await asyncio.gather(pump(reader, there), pump(other_reader, back, hello=True))
             finally:
                 self.pairs.remove(pair)
+        except asyncio.CancelledError:
+            pass                                # the rehearsal ends
         except (OSError, asyncio.IncompleteReadError, ValueError, AttributeError):
             writer.transport.abort()        # nobody there: it is told as a refusal would be
         finally:
@@ -150,6 +152,8 @@
             else:
                 way.pass_on(frame)
     finally:
+        while way.relay.rule(way.origin, way.to)["cut"]:        # an end is not heard of through a cut either
+            await asyncio.sleep(0.05)
         way.writer.close()
 
 
--- a/cherrydoor/rehearsal/clients.py
+++ b/cherrydoor/rehearsal/clients.py
@@ -9,6 +9,7 @@
 from heapq import heappop, heappush
 from zlib import crc32
 
+from cherrydoor.frames import custody
 from cherrydoor.frames import messages as m
 from cherrydoor.rehearsal.connection import Connection
 from cherrydoor.rehearsal.traffic import draw, function_name
@@ -19,11 +20,12 @@
 class Try:
     """One event as sent: the first try of it, or a repeat."""
 
-    __slots__ = ("id", "first", "index", "due", "until", "deadline", "turn", "conn")
+    __slots__ = ("id", "first", "index", "due", "until", "deadline", "turn", "conn", "asks", "taker")
 
     def __init__(self, number, first, index, due, deadline, turn):
         self.id, self.first, self.index, self.due = number, first, index, due
         self.deadline, self.turn, self.until, self.conn = deadline, turn, 0.0, None
+        self.asks, self.taker = number, ("", 0)     # the id under which its answer is awaited; who took it, which life
 
 
 class Clients:
@@ -99,7 +101,9 @@
         conn.open[one.id] = one
         self.record.add("sent", t=t, text="extra" if a.extra[i] else "", **row)
         conn.end.write(m.Event(one.id, event["name"], row["function"], lasts, t, row["party"], row["mark"],
-                               self.lanes(a.function[i]), self.load(a.function[i]), self.bodies[a.clause[i]]))
+                               self.lanes(a.function[i]), self.load(a.function[i]), self.bodies[a.clause[i]],
+                               key=f"{self.chance('key', one.id):.17f}"))
+        one.taker = conn.name, conn.life
         self.later(one.until, self.gave_up, one)
         if a.leaves[i] and one.index == 0:
             self.later(t + float(a.leaves[i]), self.withdraw, one)
@@ -114,13 +118,14 @@
 
     def close(self, one):
         conn, one.conn = one.conn, None
-        conn.open.pop(one.id, None)
+        conn.open.pop(one.asks, None)
         return self.names[conn.number]
 
     def answered(self, conn, answer):
         one = conn.open.get(answer.id)
-        self.record.add("answer", peer=self.names[conn.number], id=answer.id, event=answer.id, fate=answer.fate,
-                        a=answer.stay_away, number=int(one is not None), text=answer.reason)
+        self.record.add("answer", peer=self.names[conn.number], id=answer.id, event=one.id if one else answer.id,
+                        fate=answer.fate, a=answer.stay_away, number=int(one is not None), text=answer.reason,
+                        clause="claimed" if one is not None and one.asks != one.id else "")
         if one is None:
             return
         self.close(one)
@@ -137,7 +142,7 @@
             return
         conn = one.conn
         self.record.add("gave up", peer=self.close(one), id=one.id, event=one.id)
-        if conn.end:
+        if conn.end and one.asks == one.id:
             conn.end.write(m.Withdraw(one.id))
         self.again(one, "gave up", 0.0)
 
@@ -145,12 +150,34 @@
         if one.conn is not None:
             conn = one.conn
             self.record.add("withdrew", peer=self.close(one), id=one.id, event=one.id)
-            if conn.end:
+            if conn.end and one.asks == one.id:
                 conn.end.write(m.Withdraw(one.id))
 
     def cut(self, conn, one):
         self.record.add("cut", peer=self.close(one), id=one.id, event=one.id)
-        self.again(one, "cut", 0.0)
+        if not self.reclaim(one):
+            self.again(one, "cut", 0.0)
+
+    def reclaim(self, one):
+        """Claims the answer at another gateway, where work in hand outlives its own; False where nobody is there."""
+        t, doors = now(), [door[0] for door in self.doors]
+        there = [conn for conn in doors if conn.end is not None and not conn.leaving and conn.name != one.taker[0]]
+        if not one.taker[1] or not there or one.until - t < 60.0:
+            return False
+        conn = there[int(self.chance("claim", one.id, one.asks) * len(there))]
+        one.asks, one.conn = self.new_id(), conn
+        conn.open[one.asks] = one
+        self.record.add("claims", peer=self.names[conn.number], id=one.asks, event=one.id, text=one.taker[0])
+        conn.end.write(custody.Reclaim(one.asks, one.taker[0], one.taker[1], one.id,
+                                       f"{self.chance('key', one.id):.17f}", one.until - t, t))
+        return True
+
+    def unknown(self, conn, message):
+        """Nobody knows of it: it may have run or not."""
+        one = conn.open.get(message.id)
+        if one is not None:
+            self.record.add("not known", peer=self.close(one), id=one.id, event=one.id, text=message.reason)
+            self.again(one, "cut", 0.0)
 
     def again(self, one, why, stay):
         """Repeats what may be repeated: redeliverable ones after any failure, keyed ones within the memory of a group
--- a/cherrydoor/rehearsal/conduct.py
+++ b/cherrydoor/rehearsal/conduct.py
@@ -40,7 +40,7 @@
         self.record = Record(self.traffic, "conductor", "conductor")
         self.parts, self.gateways, self.doors, self.ids = [], {}, {}, {}
         self.rows, self.codes, self.tasks, self.ports = {}, [], set(), Ports(day["seed"])
-        self.replaced, self.feed_at = set(), ""
+        self.replaced, self.feed_at, self.between, self.meets = set(), "", None, {}
 
     def part(self, name):
         part = Part(name, self.log_file)
@@ -71,10 +71,12 @@
         self.store = await self.part("store").start("stand-in", "store", given={
             "record": traffic, "catalogue": catalogue, "figures": day["store"]})
         at = (await self.store.until("ready"))["port"]
-        self.builds = builds(day)
+        self.builds, names = builds(day), [self.ports.take() for _ in builds(day)]
+        await self.stand_between()
+        binds = [await self.relayed(name) for name in names] if self.between else None
         self.farm = await self.part("hosts").start("stand-in", "hosts", given={
             "record": traffic, "catalogue": catalogue, "store": f"127.0.0.1:{at}", "seed": day["seed"],
-            "builds": self.builds, "names": [self.ports.take() for _ in self.builds],
+            "builds": self.builds, "names": names, "binds": binds,
             "scopes": {e["name"]: e["group"] for e in day["events"] if e["kind"] == "keyed"}})
         self.list = await self.part("list").start("stand-in", "roll", given={
             "record": traffic, "figures": {"notice": [1000 * n for n in day["list"]["notice"]],
@@ -85,6 +87,7 @@
             build = self.builds[number]
             await self.row(number, host, "ready", 0.0, build)
         self.make_keys()
+        await self.meet()
         if day["feed"]["gradual"]:
             self.feed = await self.part("feed").start("stand-in", "feed", given={"record": traffic, "figures": {
                 "notice": [1000 * n for n in day["feed"]["notice"]], "misses": day["feed"]["misses"],
@@ -105,6 +108,27 @@
         self.record.add("begun", t=self.begun, a=day["warm"], b=day["length"])
         self.tasks.add(asyncio.get_running_loop().create_task(Crowding(self.record, now, self.processes).watch()))
 
+    async def stand_between(self):
+        """A relay, on days on which gateways have fellows and links that trouble may strike."""
+        fellows = self.day.get("fellows") or {}
+        if fellows.get("keepers") and fellows["between"]:
+            self.between = await self.part("between").start("stand-in", "between", given={
+                "record": str(self.traffic), "seed": self.day["seed"]})
+            await self.between.until("ready")
+
+    async def relayed(self, at, label=""):
+        """Where the one must listen that is to be reached at this address through the relay."""
+        real = self.ports.take()
+        await self.between.tell("port", to=label or at, target=real, at=at)
+        return real
+
+    async def meet(self):
+        """Doors for peers."""
+        if (self.day.get("fellows") or {}).get("keepers"):
+            for number in range(self.day["gateways"]["count"]):
+                at = self.ports.take()
+                self.meets[number] = (await self.relayed(at, f"g{number}") if self.between else at, at)
+
     def make_keys(self):
         """On days with TLS: an authority, and certificates of all gateways and offices."""
         if not self.day["doors"]["tls"]:
@@ -129,7 +153,8 @@
         for number in group:
             door = self.doors.get(number) or self.ports.take()
             path = self.folder / f"g{number}.lease"
-            path.write_text(show(lease_values(self.day, number, door, self.list_at, self.folder, self.feed_at)) + "\n")
+            path.write_text(show(lease_values(self.day, number, door, self.list_at, self.folder, self.feed_at,
+                                              self.meets)) + "\n")
             words += ["--lease", str(path)]
         decides = self.day["gateways"]["decides"]
         await part.start("gateway", *words, "--tied", "--announce",
--- a/cherrydoor/rehearsal/connection.py
+++ b/cherrydoor/rehearsal/connection.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cherrydoor.ends import End
+from cherrydoor.frames import custody
 from cherrydoor.frames import messages as m
 from cherrydoor.standin.crowd import context_of
 from cherrydoor.standin.record import now
@@ -15,7 +16,7 @@
         """comes: the address that it comes from ("" for any), and the keys of its TLS ({} for none)."""
         self.clients, self.number, self.end, self.open, self.office = clients, number, None, {}, office
         self.host, _, port = address.rpartition(":")
-        self.port, self.leaving = int(port), False
+        self.port, self.leaving, self.name, self.life = int(port), False, "", 0
         self.more = {"ssl": context_of(comes["keys"])}
         if comes["address"]:
             self.more["local_addr"] = (comes["address"], 0)
@@ -25,7 +26,7 @@
             try:
                 self.gone, self.begun = asyncio.get_running_loop().create_future(), now()
                 await asyncio.get_running_loop().create_connection(
-                    lambda: End(self, m.TO_CLIENT, self.hello), self.host, self.port, **self.more)
+                    lambda: End(self, custody.TO_CLIENT, self.hello), self.host, self.port, **self.more)
                 await self.gone
             except OSError as error:
                 self.failed(str(error))
@@ -39,13 +40,15 @@
         return m.Hello(m.VERSION, "client", f"c{self.number}", now())
 
     def greeted(self, end, hello):
-        self.end, self.leaving = end, False
+        self.end, self.leaving, self.name, self.life = end, False, hello.name, hello.life
         self.clients.record.add("connected", peer=hello.name, party=self.office, a=now() - self.begun)
 
     def heard(self, end, message):
         kind = type(message)
         if kind is m.Answer:
             self.clients.answered(self, message)
+        elif kind is custody.Unknown:
+            self.clients.unknown(self, message)
         elif kind is m.Leaving:
             self.leaving = True
         elif kind is m.Started:
--- a/cherrydoor/rehearsal/day.py
+++ b/cherrydoor/rehearsal/day.py
@@ -56,7 +56,21 @@
     return found
 
 
-def lease_values(day, number, door, listing, folder, feed=""):
+def fellows(day, number, folder, meets):
+    """What the lease says of peers and tenures; {} where each gateway is alone. meets: gateway number -> (where its
+    door for peers is, where others reach it)."""
+    said = day.get("fellows") or {}
+    if not said.get("keepers"):
+        return {}
+    return {"peers": {"door": meets[number][0], "at": meets[number][1], "next": said["next"],
+                      "keepers": [{"name": f"g{i}", "at": meets[i][1]} for i in range(said["keepers"])],
+                      "beat": ms(min(200.0, said["silent"] / 4)), "silent": ms(said["silent"]),
+                      "control": str(folder / f"g{number}.control")},
+            "tenures": {"promises": str(folder / f"g{number}.promises"), "term": ms(said["term"]),
+                        "margin": ms(said["term"] / 20), "longest": ms(1.25 * said["term"])}}
+
+
+def lease_values(day, number, door, listing, folder, feed="", meets=None):
     """The lease of one gateway of the day, as plain values."""
     may, floors = day["may"], day["fleet"]["floors"]
     return {
@@ -75,6 +89,7 @@
         "bounds": {"spare": ms(day["spare"])} | doors(day)[0], **doors(day)[1], **keys_of(day, number, folder),
         **({"releases": {"feed": feed, "saved": str(folder / f"g{number}.releases"),
                          "control": str(folder / f"g{number}.sock")}} if feed else {}),
+        **fellows(day, number, folder, meets),
         "tells": {"copy": day["fleet"].get("tells_copy", True), "crowd": day["fleet"].get("tells_crowd", True)},
         "linger": ms(day["linger"]), "misses": day["fleet"]["misses"]}
 
--- a/cherrydoor/rehearsal/report.py
+++ b/cherrydoor/rehearsal/report.py
@@ -55,6 +55,11 @@
         for name, one in list(found["releases"].items())[:8]:
             versions.add_row(name, *(str(one[k]) for k in ("launches", "errors", "from", "until")))
         console.print(versions)
+    if found["taken over"]:
+        over = Table("work in hand", "")
+        for what, count in found["taken over"].items():
+            over.add_row(what, str(count))
+        console.print(over)
     if found["lag_ms"]:
         console.print("the generator sent late by ms: " + ", ".join(
             f"{name} {value:.1f}" for name, value in found["lag_ms"].items()))
--- a/cherrydoor/rehearsal/troubles.py
+++ b/cherrydoor/rehearsal/troubles.py
@@ -151,6 +151,18 @@
             self.add(at, "stop gateway", gateway=gateway)
             self.add(end, "continue gateway", gateway=gateway)
 
+    def cut_off(self, trouble, at, end):
+        """Gateways that hear nobody and are heard by nobody: no peer, no host; clients reach them."""
+        gateways = self.struck(trouble, range(self.day["gateways"]["count"]))
+        self.add(at, "cut", gateways=gateways, on=True)
+        self.add(end, "cut", gateways=gateways, on=False)
+
+    def noise(self, trouble, at, end):
+        """Frames between gateways come late, twice and out of order, and a share (`part`) not at all."""
+        self.add(at, "noise", values={"delay": 1.0, "spread": 20.0 * trouble["size"], "double": 0.1, "reorder": 0.1,
+                                      "drop": trouble["part"] / 10})
+        self.add(end, "noise", values={})
+
     def slow_store(self, trouble, at, end):
         self.add(at, "store", slow=trouble["size"])
         self.add(end, "store", slow=1.0)
--- a/cherrydoor/standin/capacity.py
+++ b/cherrydoor/standin/capacity.py
@@ -17,6 +17,7 @@
     cores: Any
     work: Any
     jobs: dict
+    functions: dict
     reports: Any
     chance: Any
     kill: Any
@@ -77,3 +78,12 @@
     def stand_still(self, ms):
         self.paused_until = now() + ms
         self.kick()
+
+    def waiting(self):
+        return float(sum(len(copies.waiting) for copies in self.functions.values()))
+
+    def tied(self):
+        """The share of memory of copies at work or loading."""
+        used = sum((copies.standing - copies.idle() + copies.loading) * copies.facts.memory
+                   for copies in self.functions.values() if copies.facts)
+        return min(10.0, max(0.0, used / self.build.memory))
--- a/cherrydoor/standin/command.py
+++ b/cherrydoor/standin/command.py
@@ -50,9 +50,10 @@
         found = [self.farm.hosts[h] for h in hosts] if hosts is not None else list(self.farm.hosts.values())
         return [h for h in found if h.up]
 
-    async def add(self, builds, names=None, cold=False):
+    async def add(self, builds, names=None, cold=False, binds=None):
         """Starts hosts; gives their ids."""
-        return [(await self.farm.add(names[i] if names else "127.0.0.1:0", Build(**build), cold)).id
+        return [(await self.farm.add(names[i] if names else "127.0.0.1:0", Build(**build), cold,
+                                    binds[i] if binds else "")).id
                 for i, build in enumerate(builds)]
 
     def drain(self, hosts, on=True):
@@ -140,7 +141,7 @@
         await farm.loop.create_connection(
             lambda: End(farm.store, m.FROM_STORE, lambda: m.Hello(m.VERSION, "host", "farm")), host, int(port))
     obey = HostCommands(farm)
-    ids = await obey.add(said.get("builds", []), said.get("names"))
+    ids = await obey.add(said.get("builds", []), said.get("names"), binds=said.get("binds"))
     farm.sweep()
     say("ready", hosts=ids)
     await commands(obey)
--- a/cherrydoor/standin/copies.py
+++ b/cherrydoor/standin/copies.py
@@ -33,6 +33,8 @@
 class Job:
     """An event at a host."""
 
-    def __init__(self, end, launch, copies):
+    def __init__(self, end, launch, copies, origin=("", 0), number=0):
+        """origin: the gateway that took the event, and its life; number: the host's own for this job."""
+        self.origin, self.number = origin, number
         self.end, self.launch, self.copies, self.copy, self.crowd = end, launch, copies, 1, 0
         self.serial, self.over, self.at = None, False, now()
--- /dev/null
+++ b/cherrydoor/standin/estates.py
@@ -0,0 +1,105 @@
+"""What a host does for gateways whose work in hand outlives them: work goes on, is told of, and the dead are refused.
+
+A launch belongs to the estate of the life that took its event: the one its connection's hello says, or the one that a
+launch of an heir names. Ended launches are remembered for a while with their answers.
+"""
+
+from collections import deque
+from typing import Any
+
+from cherrydoor.frames import custody as c
+from cherrydoor.standin.record import now
+
+REMEMBERS = 6000.0      # ms for which ended launches are told of
+MOST, BYTES = 4000, 8 * 2**20       # of them that are remembered, and of their answers; the oldest go first
+LONG = 600000.0         # ms for which a life that is over is remembered
+
+
+class Past:
+    """A launch that has ended, as an heir is told of it."""
+
+    def __init__(self, job, fate, body):
+        self.at, self.origin, self.number, self.launch, self.fate, self.body = (
+            now(), job.origin, job.number, job.launch, fate, body)
+
+
+class Estates:
+    """Estates at one host; its jobs are the host's. `ended` is bounded by names of gateways that were lost."""
+
+    id: str
+    jobs: dict
+    record: Any
+    say: Any
+    let_go: Any
+    answer: Any
+
+    def begin_estates(self):
+        self.ended, self.past, self.past_bytes, self.numbers = {}, deque(), 0, 0
+
+    def origin(self, end, launch):
+        return (launch.giver, launch.life) if launch.giver else (end.name, end.life)
+
+    def refused(self, end, launch=None):
+        """Whether this comes from a life that is over, or under a number that has been passed."""
+        over, under = self.ended.get(end.name), launch.under if launch is not None else 0
+        if over is not None and 0 < end.life <= over[0]:
+            return True
+        passed = self.ended.get(launch.giver) if launch is not None and launch.giver else None
+        return passed is not None and launch.life <= passed[0] and under < passed[1]
+
+    def remember(self, job, fate, body):
+        """Keeps what has ended, for an heir that may come; only of gateways that may have one."""
+        if not job.origin[1]:
+            return
+        self.past.append(Past(job, fate, body))
+        self.past_bytes += len(body)
+        old = now() - REMEMBERS
+        while self.past and (self.past[0].at < old or len(self.past) > MOST or self.past_bytes > BYTES):
+            self.past_bytes -= len(self.past.popleft().body)
+
+    def over(self, end, message):
+        """That life is over: nothing more of it is taken, and what it had here is told to its heir."""
+        known, asked = self.ended.get(message.gateway, (0, 0, 0.0)), (message.life, message.number)
+        self.record.add("over", self.id, end.name, message.id, number=message.number, text=message.gateway,
+                        a=float(message.life), fate="refused" if known[:2] > asked else "")
+        if known[:2] > asked:
+            return self.say(end, c.Holds(message.id, known[1]))
+        self.ended = {name: one for name, one in self.ended.items() if one[2] > now() - LONG}
+        self.ended[message.gateway] = (*asked, now())
+        origin = message.gateway, message.life
+        jobs = [c.Job(job.number, job.launch.client, job.launch.event, job.launch.number)
+                for job in self.jobs.values() if job.origin == origin]
+        jobs += [c.Job(one.number, one.launch.client, one.launch.event, one.launch.number, one.fate, one.body)
+                 for one in self.past if one.origin == origin]
+        self.say(end, c.Holds(message.id, message.number, jobs))
+        for other in [other for other in self.ends if self.refused(other)]:
+            other.close(c.LIFE_OVER)
+
+    def adopt(self, end, message):
+        """The job's outcome goes to the heir; it may have ended meanwhile."""
+        found = next(((key, job) for key, job in self.jobs.items() if job.number == message.job), None)
+        self.record.add("adopt", self.id, end.name, message.id, found[1].launch.event if found else 0)
+        if found is not None:
+            key, job = found
+            del self.jobs[key]
+            job.end, job.launch.id = end, message.id
+            self.jobs[end, message.id] = job
+            return
+        past = next((one for one in self.past if one.number == message.job), None)
+        self.tell_past(end, message.id, past)
+
+    def tell_past(self, end, id_, past):
+        from cherrydoor.frames import messages as m
+        if past is None:
+            return self.say(end, m.Outcome(id_, "error"))
+        self.say(end, m.Outcome(id_, past.fate, 1, body=past.body))
+
+    def recalled(self, end, message):
+        """A recall by the connection that launched it, or by another one of the same life."""
+        job = self.jobs.get((end, message.id))
+        if job is None and end.life:
+            job = next((one for one in self.jobs.values() if one.launch.id == message.id and one.end.name == end.name
+                        and one.end.life == end.life), None)
+        return job
+
+    ends: Any
--- a/cherrydoor/standin/farm.py
+++ b/cherrydoor/standin/farm.py
@@ -45,8 +45,8 @@
         self.releases = {}
         self.bad = {}               # version -> what is wrong with it: parts fail, crash, load_fail; times slow
 
-    async def add(self, name="127.0.0.1:0", build=None, cold=False):
-        host = Host(self, name, build or Build(), f"{self.seed}/{len(self.hosts)}")
+    async def add(self, name="127.0.0.1:0", build=None, cold=False, bind=""):
+        host = Host(self, name, build or Build(), f"{self.seed}/{len(self.hosts)}", bind)
         await host.start(cold=cold)
         self.hosts[host.id] = host
         return host
--- a/cherrydoor/standin/host.py
+++ b/cherrydoor/standin/host.py
@@ -9,18 +9,22 @@
 from zlib import crc32
 
 from cherrydoor.ends import End, Some
+from cherrydoor.frames import custody
 from cherrydoor.frames import messages as m
 from cherrydoor.standin.capacity import Capacity
 from cherrydoor.standin.copies import Copies, Job
 from cherrydoor.standin.cores import Cores
+from cherrydoor.standin.estates import Estates
 from cherrydoor.standin.loads import Loads
 from cherrydoor.standin.record import now, wall
 
 
-class Host(Loads, Capacity):
+class Host(Loads, Capacity, Estates):
     """One host on one port. `up` is False while its process is dead."""
 
-    def __init__(self, farm, name, build, seed):
+    def __init__(self, farm, name, build, seed, bind=""):
+        """bind: where it listens, if that is not its name: something stands between."""
+        self.bind = bind
         self.farm, self.id, self.build, self.seed, self.drawn = farm, name, build, seed, 0
         self.record, self.loop, self.server, self.ends = farm.record, farm.loop, None, Some()
         self.up, self.draining, self.images = False, False, {}
@@ -35,10 +39,11 @@
 
     # ---- life
     async def start(self, port=0, cold=True):
-        host, _, given = self.id.rpartition(":")
-        self.server = await self.loop.create_server(lambda: End(self, m.TO_HOST, self.hello), host or "127.0.0.1",
+        host, _, given = (self.bind or self.id).rpartition(":")
+        self.server = await self.loop.create_server(lambda: End(self, custody.TO_HOST, self.hello), host or "127.0.0.1",
                                                     port or int(given or 0), backlog=1024, reuse_address=True)
-        self.id = f"{host or '127.0.0.1'}:{self.server.sockets[0].getsockname()[1]}"
+        self.bind = self.bind and f"{host}:{self.server.sockets[0].getsockname()[1]}"
+        self.id = self.id if self.bind else f"{host or '127.0.0.1'}:{self.server.sockets[0].getsockname()[1]}"
         self.begin(cold)
         return self.id
 
@@ -50,6 +55,7 @@
         self.cores, self.functions, self.jobs = Cores(self.build.cores, now()), {}, {}
         self.loads, self.load_queue, self.reports, self.work = set(), deque(), deque(), deque()
         self.fell = False
+        self.begin_estates()
         if not self.build.disk:
             self.images = {}
         b = self.build
@@ -76,11 +82,15 @@
     def greeted(self, end, hello):
         if self.refuse or not self.up:
             return end.abort()
-        end.name = hello.name
+        end.name, end.life = hello.name, hello.life
+        if self.refused(end):
+            return end.close(custody.LIFE_OVER)
         self.ends.add(end)
 
     def lost(self, end):
         self.ends.discard(end)
+        if getattr(end, "life", 0):     # its work goes on: the gateway may be lost, and have an heir
+            return
         for job in [j for j in self.jobs.values() if j.end is end] if self.up else ():
             self.record.add("cut", self.id, end.name, job.launch.id, job.launch.event, job.launch.number)
             self.let_go(job)
@@ -92,7 +102,7 @@
         if kind is m.Launch:
             self.launched(end, message)
         elif kind is m.Recall:
-            job = self.jobs.get((end, message.id))
+            job = self.recalled(end, message)
             self.record.add("recall", self.id, end.name, message.id, job.launch.event if job else 0)
             if job:
                 self.let_go(job)
@@ -103,6 +113,10 @@
             self.kick()
         elif kind is m.Order:
             self.ordered(end, message)
+        elif kind is custody.Over:
+            self.over(end, message)
+        elif kind is custody.Adopt:
+            self.adopt(end, message)
         elif kind is m.Drop:
             copies = self.functions.get(message.function)
             if copies:
@@ -120,14 +134,19 @@
     # ---- events
     def launched(self, end, launch):
         # the work that an event is taken to be, for rule 4: the mean of its function
+        if self.refused(end, launch):
+            self.record.add("refused", self.id, end.name, launch.id, launch.event, launch.number)
+            return self.say(end, m.Outcome(launch.id, "full"))
         mean = self.farm.mean_work(launch.function)
         self.record.add("launch", self.id, end.name, launch.id, launch.event, launch.number, launch.function,
-                        launch.clause, launch.client, launch.mark, a=launch.limit, b=mean)
+                        launch.clause, launch.client, launch.mark, a=launch.limit, b=mean, c=float(launch.under),
+                        text=str(end.life) if end.life else "")
         if self.falls(mean):
             return
         copies = self.functions.get(launch.function) or Copies(launch.function)
         self.functions[launch.function] = copies
-        job = Job(end, launch, copies)
+        self.numbers += 1
+        job = Job(end, launch, copies, self.origin(end, launch), self.numbers)
         job.crowd = min(30, copies.held())
         if self.draining or len(self.jobs) >= self.build.queue or self.build.misses and not (
                 copies.standing or copies.loading):
@@ -177,6 +196,7 @@
                  or self.chance() < bad.get("fail", 0.0))
         lose = max(self.lose, self.deaf.get(launch.clause, 0.0))
         if lose and self.chance() < lose:
+            self.remember(job, "error" if fails else "handled", b"x" * min(len(launch.body), 4 * 2**20))
             self.record.add("answer lost", self.id, job.end.name, launch.id, launch.event, launch.number)
         else:
             self.answer(job, "error" if fails else "handled")
@@ -186,6 +206,7 @@
         job.over, launch = True, job.launch
         copy = job.copy if copy is None else copy
         body = b"x" * min(len(launch.body), 4 * 2**20) if fate == "handled" else b""
+        self.remember(job, fate, body)
         if not self.quiet:
             self.record.add("outcome", self.id, job.end.name, launch.id, launch.event, launch.number,
                             launch.function, fate=fate, a=copy, b=job.crowd)
@@ -204,15 +225,6 @@
                                     body, tally, self.waiting() if b.tells_queue else None,
                                     self.tied() if b.tells_tied else None))
 
-    def waiting(self):
-        return float(sum(len(copies.waiting) for copies in self.functions.values()))
-
-    def tied(self):
-        """The share of memory of copies at work or loading."""
-        used = sum((copies.standing - copies.idle() + copies.loading) * copies.facts.memory
-                   for copies in self.functions.values() if copies.facts)
-        return min(10.0, max(0.0, used / self.build.memory))
-
     def rise(self):
         """Up again by itself after a version took it down: the list is not told, its own hello is."""
         if not self.up:
--- /dev/null
+++ b/tests/custody/fleet_and_hosts.py
@@ -0,0 +1,129 @@
+"""Gateways as processes, hosts of ours and a list in the test's own loop, a relay on every link between them."""
+
+import asyncio
+
+from fleet import LONGEST, Fleet, until
+
+from cherrydoor.ends import End
+from cherrydoor.frames import custody
+from cherrydoor.frames import messages as m
+from cherrydoor.standin.catalogue import Catalogue
+from cherrydoor.standin.copies import Build
+from cherrydoor.standin.farm import Farm
+from cherrydoor.standin.record import now
+from cherrydoor.standin.roll import Roll
+from cherrydoor.standin.store import Store
+
+
+class Rows:
+    """What hosts record, as dicts."""
+
+    def __init__(self):
+        self.rows = []
+
+    def add(self, what, who="", peer="", id=0, event=0, number=0, *more, **named):
+        self.rows.append({"what": what, "who": who, "peer": peer, "id": id, "event": event, "number": number, **named})
+
+    def of(self, what, event=None):
+        return [row for row in self.rows if row["what"] == what and event in (None, row["event"])]
+
+
+class Caller:
+    """A client: connections by gateway, answers by id."""
+
+    def __init__(self):
+        self.ends, self.answers, self.lost_ends, self.ids = {}, {}, [], 0
+
+    async def connect(self, gate):
+        host, _, port = gate.door.rpartition(":")
+        _, end = await asyncio.get_running_loop().create_connection(
+            lambda: End(self, custody.TO_CLIENT, lambda: m.Hello(m.VERSION, "client", "caller", now())), host,
+            int(port))
+        self.ends[gate.name] = end
+        await come(lambda: end.reader.hello)
+        return end
+
+    def greeted(self, end, hello):
+        pass
+
+    def heard(self, end, message):
+        if hasattr(message, "id"):
+            self.answers.setdefault(message.id, []).append(message)
+
+    def lost(self, end):
+        self.lost_ends.append(end)
+
+    def send(self, gate, clause, lasts=3000.0, mark="", key="secret", function="deed-1", body=b"body"):
+        self.ids += 1
+        self.ends[gate.name].write(m.Event(self.ids, clause, function, lasts, now(), "", mark or f"m{self.ids}",
+                                           key=key, body=body))
+        return self.ids
+
+    def claim(self, gate, taker, event, key="secret", lasts=3000.0):
+        self.ids += 1
+        hello = self.ends[taker.name].reader.hello
+        self.ends[gate.name].write(custody.Reclaim(self.ids, taker.name, hello.life, event, key, lasts, now()))
+        return self.ids
+
+    async def answer(self, number):
+        await come(lambda: self.answers.get(number))
+        return self.answers[number][0]
+
+
+class Town(Fleet):
+    """hosts of one work time in ms; each gateway and each host behind the relay."""
+
+    def __init__(self, folder, gates=5, hosts=3, work=600.0, **more):
+        super().__init__(folder, gates, **more)
+        self.rows, self.count, self.work = Rows(), hosts, work
+
+    async def __aenter__(self):
+        catalogue = Catalogue(load=(20, 40), work=(self.work, self.work), memory=(100, 100))
+        store = await Store(self.rows, catalogue).start()
+        self.farm, self.roll = Farm(self.rows, catalogue), await Roll(self.rows, (1.0, 2.0)).start()
+        await asyncio.get_running_loop().create_connection(
+            lambda: End(self.farm.store, m.FROM_STORE, lambda: m.Hello(m.VERSION, "host", "farm")), "127.0.0.1",
+            store.port)
+        self.hosts = []
+        for _ in range(self.count):
+            real = self.ports.take()
+            name = await self.relay.port("h", real)
+            host = await self.farm.add(name, Build(eager=False), bind=real)
+            host.draw = lambda mean: mean
+            self.hosts.append(host)
+            self.roll.set(m.Row(host.id, "ready", 0.0, "floor-0"))
+        self.list_at = f"127.0.0.1:{self.roll.port}"
+        await super().__aenter__()
+        await self.together()
+        self.caller = Caller()
+        for gate in self.gates:
+            await self.caller.connect(gate)
+            await come(lambda gate=gate: gate.name in self.heard_list())
+        return self
+
+    def heard_list(self):
+        """Gateways that have read the list."""
+        return {row["peer"] for row in self.rows.of("heard")}
+
+    async def entrusted(self, gate):
+        """Until all that this gateway has in hand has been told to its witnesses, and what is out is at work."""
+        await until(lambda: gate.ask(do="custody"), lambda said: said and said["in hand"] and not said["untold ms"]
+                    and len(said["witnesses"]) == 2)
+        return await gate.ask(do="custody")
+
+    async def at_work(self, event):
+        await come(lambda: self.rows.of("launch", event))
+        await come(lambda: any(job.launch.event == event and job.serial is not None
+                               for host in self.hosts for job in host.jobs.values()))
+
+    def heirs(self, giver):
+        return [line for gate in self.gates for line in gate.logged("an estate is taken over")
+                if f'"giver": "{giver.name}"' in line]
+
+
+async def come(what):
+    end = asyncio.get_running_loop().time() + LONGEST
+    while not (found := what()):
+        assert asyncio.get_running_loop().time() < end, "never came"
+        await asyncio.sleep(0.005)
+    return found
