--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	$(PY) -m cherrydoor rehearse quick
 
 test: $(READY)
-	$(PY) -m pytest -q --doctest-modules cherrydoor tests
+	$(PY) -m pytest -q --doctest-modules cherrydoor tests docs
 
 lint: $(READY)
 	.venv/bin/ruff check .
--- a/cherrydoor/cli/fellows.py
+++ b/cherrydoor/cli/fellows.py
@@ -70,3 +70,34 @@
         ("for s", 8, lambda r: r["since"] / 1000), ("linked", 7, lambda r: "yes" if r["linked"] else "no"),
         ("site", 12, lambda r: r["site"] or "-"),
         ("life", 14, lambda r: r["life"]), ("at", 22, lambda r: r["at"]))))
+
+
+def became(row):
+    return ", ".join(f"{what} {value}" for what, value in row.items() if what not in ("giver", "life", "number"))
+
+
+@main.group()
+def custody():
+    """Work in hand that outlives its gateway."""
+
+
+@custody.command("show")
+@CONTROL
+@JSON
+def show_custody(control, as_json):
+    """What is entrusted and to whom, what is kept for others, what was taken over and what became of it."""
+    said = spoken(control, do="custody")
+    if as_json:
+        return print(json.dumps(said, indent=1))
+    print(f"{said['gateway']}, life {said['life']}: {said['in hand']} events in hand, {said['bytes']} bytes; "
+          f"witnesses: {' '.join(said['witnesses']) or 'none'}; told after {said['told after ms']} ms at the 99th")
+    for what, count in [*said["counts"].items(), *said["kept counts"].items()]:
+        print(f"  {what}: {count}")
+    print(rows_of(said["kept for others"], (
+        ("kept for", 16, lambda r: r["giver"]), ("life", 14, lambda r: r["life"]),
+        ("as witness", 10, lambda r: r["rank"]), ("events", 7, lambda r: r["events"]),
+        ("bytes", 9, lambda r: r["bytes"]))))
+    print(rows_of(said["takeovers"], (
+        ("taken over", 16, lambda r: r["giver"]), ("life", 14, lambda r: r["life"]),
+        ("number", 7, lambda r: r["number"]), ("what became of it", 20, became))))
+    print("claims: " + ", ".join(f"{count} {what}" for what, count in said["claims"].items()))
