A site is drained in waves by priority: planned, conducted under a tenure, followed by all

Need: a floor was emptied by setting its hosts to drain, everything at once, whatever it was worth. Change: cherrydoor/site. Waves are numbered under the tenure's number and each is the whole of the drain; gateways follow the highest and move sessions by hash in nested shares; the conductor goes on when copies stand, all have confirmed and nothing is served worse, and whoever holds the tenure next goes on from the highest wave that anybody holds. The module's exception is one line in the gate: hosts of the drained zone are none of such an event's places. Room that is missing refuses a drain, or defers the lowest. An event type's benefit may be stated in the lease. Seen and mended: a gateway that was cut off heard no wave that it had missed, as each went on once (links tell what stands when they come up); a gateway whose life ended forgot the drain.

--- a/cherrydoor/cli/fellows.py
+++ b/cherrydoor/cli/fellows.py
@@ -101,3 +101,49 @@
         ("taken over", 16, lambda r: r["giver"]), ("life", 14, lambda r: r["life"]),
         ("number", 7, lambda r: r["number"]), ("what became of it", 20, became))))
     print("claims: " + ", ".join(f"{count} {what}" for what, count in said["claims"].items()))
+
+
+@main.group()
+def site():
+    """A site of the list drained for maintenance: its sessions go to neighbours, in waves by priority."""
+
+
+def site_command(name, about):
+    @CONTROL
+    @JSON
+    @click.argument("site")
+    def act(control, as_json, site, dry_run=False, even=False):
+        said = spoken(control, do="site", what="plan" if dry_run else name, site=site, even=even)
+        if as_json:
+            return print(json.dumps(said, indent=1))
+        if dry_run:
+            return show_plan(said)
+        print(f"{said['site']}: {said['state']}" + (f", wave {said['wave']} of tenure {said['number']}, conducted by "
+              f"{said['conductor']}" if "wave" in said else "") + (f"; {said['why']}" if said.get("why") else ""))
+        for function, share in said.get("away", ()):
+            print(f"  {function:24} {share:6.0%} away")
+        if here := said.get("conductor here"):
+            print(", ".join(f"{what} {value}" for what, value in here.items() if what != "site"))
+    act.__doc__ = about
+    if name == "drain":
+        act = click.option("--dry-run", is_flag=True, help="Show waves, copies and room; change nothing.")(act)
+        act = click.option("--even", is_flag=True, help="Also where neighbours have no room for all: the lowest are "
+                                                        "deferred.")(act)
+    site.command(name)(act)
+
+
+def show_plan(said):
+    print(f"{said['site']}: {said['asked']} events a second, room for {said['room']} at its neighbours")
+    rows = [(number, step) for number, wave in enumerate(said["waves"], 1) for step in wave]
+    print(rows_of(rows, (("wave", 5, lambda r: r[0]), ("function", 24, lambda r: r[1]["function"]),
+                         ("share", 6, lambda r: f"{r[1]['share']:.0%}"), ("benefit", 8, lambda r: r[1]["benefit"]),
+                         ("copy", 12, lambda r: "to be opened" if r[1]["opens"] else "stands"))))
+    if said["shed"]:
+        print("deferred at the end: " + " ".join(one or "(rest)" for one in said["shed"]))
+
+
+for name, about in (("drain", "Drain SITE; refused where its neighbours have no room."),
+                    ("show", "How far the drain of SITE is, as this gateway knows it."),
+                    ("hold", "Take no further wave."), ("resume", "End a hold."),
+                    ("undo", "Bring the sessions of SITE back, in the same order reversed.")):
+    site_command(name, about)
--- a/cherrydoor/custody/fellows.py
+++ b/cherrydoor/custody/fellows.py
@@ -6,6 +6,7 @@
 from cherrydoor.custody.shell import Custody
 from cherrydoor.gateway.control import Control
 from cherrydoor.peers.shell import Peers
+from cherrydoor.site.shell import Sites
 from cherrydoor.tenure.shell import Tenures
 
 log = structlog.get_logger()
@@ -20,6 +21,7 @@
         self.shell, self.peers = shell, Peers(shell, said, life)
         self.tenures = Tenures(self.peers, shell.figures.tenures)
         self.custody = Custody(self.peers, self.tenures)
+        self.sites = Sites(self.peers, self.tenures)
         self.control = Control(said["control"], self.obey) if said["control"] else None
         self.peers.changed.append(self.seen)
         self.last, self.silent = self.peers.now(), said["silent"]
@@ -28,9 +30,14 @@
     def life(self):
         return self.peers.me.life
 
+    def goes_on_from(self, before):
+        """Another life of the same process: it knows the drains that it went by."""
+        self.sites.follower = before.sites.follower
+
     async def start(self):
         await self.peers.start()
         self.custody.start()
+        self.sites.start()
         if self.control:
             await self.control.start()
         log.info("peers may connect", gateway=self.peers.me.name, at=self.peers.said["door"], life=self.life,
@@ -62,6 +69,7 @@
 
     def close(self):
         """Leaves: what is held is handed over, and everybody linked is told."""
+        self.sites.close()
         self.tenures.close()
         self.custody.close()
         self.peers.close()
@@ -70,6 +78,7 @@
 
     def abort(self):
         """Ends without a word; the next life begins with its own."""
+        self.sites.close()
         self.tenures.abort()
         self.custody.close()
         self.peers.abort()
@@ -81,6 +90,8 @@
         what = said["do"]
         if what == "peers":
             return self.table()
+        if what == "site":
+            return self.sites.order(said)
         if what == "custody":
             return self.custody.table()
         if what in ("yield", "hold"):
--- a/cherrydoor/custody/heir.py
+++ b/cherrydoor/custody/heir.py
@@ -50,6 +50,11 @@
     def __init__(self, custody):
         self.custody, self.work, self.known, self.marks, self.past = custody, {}, {}, {}, []
 
+    def linked(self, name):
+        """Whoever was away hears who is heir to what."""
+        for heir, _ in self.known.values():
+            self.custody.peers.say(name, heir)
+
     def at_work(self, task):
         return task in self.work
 
--- a/cherrydoor/custody/shell.py
+++ b/cherrydoor/custody/shell.py
@@ -35,6 +35,7 @@
                            (p.Claimed, self.answered)):
             peers.follow(kind, what)
         tenures.refusing.append(self.refuses)
+        peers.linked.append(self.heirs.linked)
 
     def start(self):
         self.look()
--- a/cherrydoor/gateway/desk.py
+++ b/cherrydoor/gateway/desk.py
@@ -33,6 +33,7 @@
                       io.DeadLetter: self.dead_letter, io.Ring: self.ring, io.Probe: self.probe,
                       io.Order: self.order, io.Subscribe: self.subscribe, io.Log: self.log}
         self.custody = None         # told of what is in hand, where it outlives this gateway (custody/shell.py)
+        self.site = None            # tells which site an event has moved away from (site/shell.py)
         self.carry_out(gate.start(now))
         self.alarm(now + terms.idle / 10, self.tidy)
 
@@ -62,6 +63,8 @@
             self.refuse(client, event, self.draining, self.terms.stay)
         elif len(self.taken) >= self.terms.most_open:
             self.refuse(client, event, "as many events are open as may be", self.terms.stay)
+        elif self.site is not None and (why := self.site.defers(event)):
+            self.refuse(client, event, why, self.terms.stay)
         else:
             taken = self.hold(client, event, until)
             if self.custody is None or not self.custody.finds(taken):
@@ -82,8 +85,9 @@
         taken.adopted, taken.launches = False, []
         if self.versions is not None:
             taken.function = self.versions.choose(event.function, event.document or event.mark or taken.client.name)
+        away = self.site.away(event) if self.site is not None else ""
         self.notes.append(io.Arrival(taken.number, event.clause, event.party, taken.function, taken.until,
-                                     event.lanes, event.load))
+                                     event.lanes, event.load, away))
         if self.custody is not None:
             self.custody.taken(taken)
 
@@ -112,6 +116,8 @@
 
     def answer(self, taken, answer):
         self.counts[answer.fate] += 1
+        if self.site is not None:
+            self.site.answered(taken, answer.fate, self.now)
         taken.client.wire.write(answer)
         self.end(taken)
 
@@ -209,8 +215,12 @@
         self.counts["lines of the module"] += 1
 
     # ---- releases
-    def foreseen(self, name):
-        self.notes.append(io.Foreseen(name))
+    def foreseen(self, name, away=""):
+        self.notes.append(io.Foreseen(name, away))
+
+    def stands(self, name, host):
+        """Others tell that a copy of the function stands there: as good as an order's answer."""
+        self.notes.append(io.Loaded(name, host, io.HANDLED, 1, 0.0))
 
     # ---- leaving
     def drain(self, reason):
--- a/cherrydoor/gateway/links.py
+++ b/cherrydoor/gateway/links.py
@@ -167,7 +167,7 @@
             self.notes.append(io.Probed(name, fate, took))
         elif sent.kind is io.Loaded:
             self.notes.append(io.Loaded(sent.function, name, fate, message.copies if message else 0, took))
-            self.ended(v.Loaded(sent.function, fate, took))
+            self.ended(v.Loaded(sent.function, fate, took, name))
         else:
             self.landed(sent, fate, took, name, message)
 
--- a/cherrydoor/gateway/shell.py
+++ b/cherrydoor/gateway/shell.py
@@ -17,6 +17,7 @@
 from cherrydoor.gateway.turn import Clock, Turn, address
 from cherrydoor.keys.decide import Usage
 from cherrydoor.keys.keeper import Keeper, Where
+from cherrydoor.versions.decide import Loaded
 from cherrydoor.versions.feed import Releases
 
 log = structlog.get_logger()
@@ -47,10 +48,17 @@
         self.desk = self.new_desk()
 
     def new_desk(self):
-        more = (self.releases.versions, self.releases.post) if self.releases else (None, None)
+        more = (self.releases and self.releases.versions, self.ended)
         return Desk(self.make_gate(self.figures.lease), self.figures.terms, self.floor.dial, self.clock.now(),
                     self.roll.hear, *more)
 
+    def ended(self, note):
+        """A launch or an order to load has ended."""
+        if self.releases:
+            self.releases.post(note)
+        if self.fellows and type(note) is Loaded:
+            self.fellows.sites.loaded(note.name, note.host, note.fate == io.HANDLED)
+
     def hello(self):
         return m.Hello(m.VERSION, "gateway", self.figures.name, self.clock.now(), 0.0, self.bounds.frame,
                        self.figures.terms.most_open, life=self.fellows.life if self.fellows else 0)
@@ -72,7 +80,7 @@
         """From here on what is in hand outlives this gateway, where it has fellows."""
         self.fellows = fellows
         if fellows:
-            self.desk.custody = fellows.custody
+            self.desk.custody, self.desk.site = fellows.custody, fellows.sites
             await fellows.start()
 
     def turn(self):
@@ -117,6 +125,8 @@
             self.fellows = None
             doubled = fellows.peers.members.doubled
             anew = None if doubled else self.join(self, max(fellows.life + 1, int(self.clock.now())))
+            if anew:
+                anew.goes_on_from(fellows)
             self.loop.create_task(self.meet(anew))
         if old.draining is not None:
             self.post(self.desk.drain, old.draining)
--- a/cherrydoor/interface.py
+++ b/cherrydoor/interface.py
@@ -83,11 +83,13 @@
     until: float                # the client gives up then
     lanes: float                # events that one copy runs at a time
     load: float                 # usual time of a load, 0 where not told
+    away: str = ""              # a zone that its session has moved away from, "" for none
 
 
 class Foreseen(NamedTuple):
-    """A function that will soon be called: a copy at its home is worth an order."""
+    """A function that will soon be called: a copy at its home is worth an order; away as in Arrival."""
     function: str
+    away: str = ""
 
 
 class Underway(NamedTuple):
--- a/cherrydoor/lease/figures.py
+++ b/cherrydoor/lease/figures.py
@@ -65,6 +65,7 @@
     def __init__(self, said):
         said = bare(said)
         may, cold, ration, bounds = said["may"], said["cold"], said["ration"], said["bounds"]
+        self.benefits = {clause["name"]: clause["benefit"] for clause in said["clauses"]}
         self.name, self.door, self.list_at = said["name"], said["door"], said["list"]
         self.saved = Path(said["saved"]) if said["saved"] else None
         self.metrics = said["metrics"]
@@ -77,7 +78,7 @@
                            bounds["order"], bounds["stay"], (said["tells"]["copy"], said["tells"]["crowd"]))
         self.lease = io.Lease(
             said["number"], said["gateways"], said["seed"], said["zone"], 1.0,
-            tuple(io.Clause(**clause) for clause in said["clauses"]),
+            tuple(io.Clause(**{k: v for k, v in clause.items() if k != "benefit"}) for clause in said["clauses"]),
             tuple(io.Party(**party) for party in said["parties"]),
             said["asks"], may["launches"], may["twice"], may["recall"], may["probe"], may["advice"],
             cold["from"], cold["time"], cold["multiple"], cold["fall"], said["linger"], may["order"],
--- a/cherrydoor/logic/event.py
+++ b/cherrydoor/logic/event.py
@@ -34,6 +34,7 @@
 
     def __init__(self, arrival, clause, func, customer):
         self.id, self.clause, self.func, self.until = arrival.event, clause, func, arrival.until
+        self.away = arrival.away
         self.customer, self.tries, self.over, self.streams = customer, [], False, False
 
     def out(self):
--- a/cherrydoor/logic/gateway.py
+++ b/cherrydoor/logic/gateway.py
@@ -23,7 +23,7 @@
         self.losses = {name: (Tally(half=4 * WINDOW), Tally(half=4 * WINDOW)) for name in self.deed.clauses}
 
     def start(self, now):
-        self.now, self.next_window, self.actions = now, now + WINDOW, []
+        self.now, self.next_window, self.actions, self.history.halved = now, now + WINDOW, [], now
         self.due = now + SWEEP * (1 + self.chance())
         self.ring(self.due - now, "sweep")
         self.actions.extend([io.Subscribe()] * self.deed.asks)
@@ -66,7 +66,8 @@
         name = note.function
         func = self.history.functions[name] = self.history.functions.get(name) or Function(name, self.deed.me)
         func.count = max(1.0, func.count)       # so that the line outlives the load
-        home = self.zone.heir(func.home, lambda h: func.refused.get(h, 0) <= self.now)
+        home = self.zone.heir(func.home, lambda h: func.refused.get(h, 0) <= self.now and (
+            not note.away or h.zone != note.away))
         if home and not home.holds(func, self.now):
             self.order(func, home)
 
--- a/cherrydoor/logic/rules.py
+++ b/cherrydoor/logic/rules.py
@@ -52,6 +52,8 @@
         """The gate: what the rules say of a launch of this event to this host now."""
         if evt.over or evt.streams or self.now >= evt.until or len(evt.tries) >= self.deed.launches:
             return False                                                        # rule 1
+        if evt.away and host.zone == evt.away:
+            return False                                    # a drained zone's hosts are none of its session's places
         if host.state != io.READY or not host.room(self.now) or evt.out() and not self.deed.twice:
             return False                                                        # rules 3, 4 and 2
         ran = evt.may_have_run()
--- a/cherrydoor/logic/zone.py
+++ b/cherrydoor/logic/zone.py
@@ -3,7 +3,7 @@
 from math import modf
 
 from cherrydoor import interface as io
-from cherrydoor.logic.actor import Actor
+from cherrydoor.logic.actor import WINDOW, Actor
 from cherrydoor.logic.host import LEAST
 from cherrydoor.logic.table import BUSY
 
@@ -57,6 +57,17 @@
         places = [func.home, *(func.seconds() if more else ())]
         return [h for h in (self.slots[int(p * n)] for p in places) if h.level(gate.now) >= 1.0]
 
+    def lots(self, zone):
+        """What is called of a zone's hosts: (function, own events a second, ids of hosts elsewhere with a copy)."""
+        found, now, history = [], self.gate.now, self.gate.history
+        for func in history.functions.values():
+            home = self.heir(func.home, lambda h: True)
+            if home and home.zone == zone:
+                known = [h for h in dict.fromkeys([*func.copies, *self.kept(func)]) if h.zone != zone]
+                rate = 1000 * func.count / (min(8 * WINDOW, history.span) + now - history.halved)
+                found.append((func.name, rate, [h.id for h in known if h.holds(func, now)]))
+        return found
+
     def choose(self, evt):
         """The design's path, then its exceptions: the host, and one to order a copy at, if any."""
         func, now, gate = evt.func, self.gate.now, self.gate
--- a/cherrydoor/peers/shell.py
+++ b/cherrydoor/peers/shell.py
@@ -8,6 +8,7 @@
 from cherrydoor.ends import End
 from cherrydoor.frames import messages as m
 from cherrydoor.frames import peers as p
+from cherrydoor.frames.site import SITE
 from cherrydoor.peers.decide import Me, Members
 from cherrydoor.peers.links import Close, Dial, Links
 
@@ -28,7 +29,7 @@
 
     def __init__(self, peers, name=""):
         """name: whom we dialled, "" where we were."""
-        super().__init__(peers, p.PEER, peers.hello, WAITING)
+        super().__init__(peers, (*p.PEER, *SITE), peers.hello, WAITING)
         self.peers, self.dialled, self.name, self.stands = peers, name, name, False
 
 
@@ -47,6 +48,7 @@
         self.members = Members(self.me, now)
         self.members.hear(now, [p.Member(one, 0, at, keeper=True) for one, at in keepers.items() if one != name])
         self.links = Links(self.members, now, said["beat"], said["silent"], said["next"], shell.figures.seed)
+        self.linked: list = []          # callables: told of a name that has just been linked
         self.ends, self.handlers, self.changed, self.server, self.tasks = {}, {}, [], None, set()
         self.timer, self.closed, self.warned = None, False, False
 
@@ -164,6 +166,8 @@
             other.close("linked anew")
         end.stands, self.ends[hello.name] = True, end
         self.carry_out(actions)
+        for tell in self.linked:
+            tell(hello.name)
 
     def heard(self, end, message):
         if not end.stands or self.closed:
--- /dev/null
+++ b/cherrydoor/site/plan.py
@@ -0,0 +1,118 @@
+"""In which order a site's sessions move, and where there is room for them. Pure.
+
+A *lot* is what calls of one function at the site come to, over all gateways. Lots move in order of what is lost if one
+of their events is served late, then of what moving costs: nothing where a matching copy stands elsewhere, else an
+order, a fetch and memory. A wave holds whole lots or a share of one, bounded by the share of the site's traffic, and by
+copies that are to be opened. What neighbours have no room for is the lowest, and is *shed*: deferred, so that nothing
+above it is.
+"""
+
+from msgspec import Struct
+
+STEP = 0.25             # of the site's events a second that one wave moves at most
+COPIES = 4              # copies that one wave has opened at most: the store and cold memory bear so many at a time
+LEAST = 0.02            # of the site's traffic that a lot must have to stand by itself; smaller ones are the rest
+REST = ""               # the name of the rest: every function that is not named
+
+
+class Lot(Struct, frozen=True):
+    """rate: events a second at the site; benefit: lost with each that is late; kind: of the event type, the strictest;
+    hosts: where matching copies stand elsewhere; memory: how long hosts remember marks, ms, of keyed ones."""
+    function: str
+    rate: float
+    benefit: float = 1.0
+    kind: str = "redeliverable"
+    hosts: tuple[str, ...] = ()
+    memory: float = 0.0
+
+
+class Step(Struct, frozen=True):
+    """From this wave on sessions below this share of a function's are away; `opens`: a copy has to stand first."""
+    function: str
+    share: float
+    opens: bool = False
+
+
+class Plan(Struct, frozen=True):
+    """waves: steps of each, shares counted from nothing; shed: functions whose sessions beyond their share are deferred
+    at the end; room, asked: in events a second."""
+    waves: list[list[Step]] = []
+    shed: list[str] = []
+    room: float = 0.0
+    asked: float = 0.0
+
+    @property
+    def missing(self):
+        """Events a second for which neighbours have no room."""
+        return max(0.0, self.asked - self.room)
+
+
+def priority(lot):
+    """What goes first sorts first: most benefit an event, then what costs nothing to move, then the busiest."""
+    return -lot.benefit, not lot.hosts, -lot.rate, lot.function
+
+
+def gathered(lots):
+    """Lots that are too small to stand by themselves go together as the rest, with the mean benefit."""
+    total = sum(lot.rate for lot in lots)
+    big = [lot for lot in lots if lot.rate >= LEAST * total and lot.function != REST]
+    small = [lot for lot in lots if lot not in big]
+    rate = sum(lot.rate for lot in small)
+    if rate:
+        benefit = sum(lot.rate * lot.benefit for lot in small) / rate
+        strict = max((lot.kind for lot in small), key=("redeliverable", "keyed", "at-most-once").index)
+        big.append(Lot(REST, rate, benefit, strict, ("",), max(lot.memory for lot in small)))
+    return sorted(big, key=priority)
+
+
+def plan(lots, room, step=STEP, copies=COPIES):
+    """The waves that drain a site of these lots into `room` events a second at its neighbours.
+
+    >>> [[s.function for s in wave] for wave in plan([Lot("a", 1.0), Lot("b", 1.0, 5.0)], 10.0, 0.5).waves]
+    [['b'], ['a']]
+    """
+    ordered = gathered(lots)
+    asked = sum(lot.rate for lot in ordered)
+    left, waves, shed = room, [], []
+    wave: list[Step] = []
+    moved = opened = 0.0
+    most = max(step * asked, 1e-9)
+    for lot in ordered:
+        whole = min(1.0, left / lot.rate)
+        left -= whole * lot.rate
+        if whole < 1 - 1e-9:        # from here on nothing has room: no smaller lot below takes a higher one's place
+            shed.append(lot.function)
+            left = 0.0
+        share = 0.0
+        while share < whole - 1e-9:
+            opens = not lot.hosts and not share
+            if moved >= most - 1e-9 or opens and opened >= copies:
+                waves.append(wave)
+                wave, moved, opened = [], 0.0, 0.0
+            part = min(whole - share, (most - moved) / lot.rate)
+            share = min(1.0, share + part)
+            moved += part * lot.rate
+            opened += opens
+            wave.append(Step(lot.function, 1.0 if share > 1 - 1e-9 else share, opens))
+    if wave:
+        waves.append(wave)
+    return Plan(waves, shed, room, asked)
+
+
+def served(chosen, lots):
+    """Benefit a second of the lots that find room: what an order of priority is measured by.
+
+    >>> served(plan([Lot("a", 1.0), Lot("b", 1.0, 5.0)], 1.0), [Lot("a", 1.0), Lot("b", 1.0, 5.0)])
+    5.0
+    """
+    shares = {step.function: step.share for wave in chosen.waves for step in wave}
+    return sum(lot.rate * lot.benefit * shares.get(lot.function, 0.0) for lot in gathered(lots))
+
+
+def room_of(zones, site):
+    """Events a second that the other sites bear beyond what they have, by how busy each is. zones: site -> (events a
+    second, busy: the share of what it can do, None where nothing tells it). None where none of them tells."""
+    told = [(rate, busy) for name, (rate, busy) in zones.items() if name != site and busy]
+    if not told:
+        return None
+    return sum(rate * (1.0 / busy - 1.0) for rate, busy in told if busy < 1.0)
--- /dev/null
+++ b/cherrydoor/site/shell.py
@@ -0,0 +1,291 @@
+"""A site's drain at one gateway: follows waves, tells how it fares, and conducts where it holds the site's tenure."""
+
+import asyncio
+
+import structlog
+from msgspec import structs
+
+from cherrydoor.frames import site as f
+from cherrydoor.site import decide as d
+from cherrydoor.site.plan import REST, Lot, plan, room_of
+
+log = structlog.get_logger()
+LOOK = 0.25             # s between reports of one who follows, and looks of the conductor
+GATHER = 1500.0         # ms for which a new conductor listens before it plans
+NAMED = 60              # functions that a report names; the rest as one
+KNOWN = 4000            # functions of which event types are remembered
+
+
+class Sites:
+    """The desk's port: defers, away, answered. Words of operators come through order()."""
+
+    def __init__(self, peers, tenures):
+        self.peers, self.tenures, self.shell, self.now = peers, tenures, peers.shell, peers.now
+        self.loop, self.me, self.follower = asyncio.get_running_loop(), peers.me.name, d.Follower()
+        lease = self.shell.figures.lease
+        self.kinds = {c.name: c for c in lease.clauses}
+        self.benefits = self.shell.figures.benefits
+        self.conductors, self.wanted, self.heard, self.seen, self.timer = {}, {}, {}, {}, None
+        self.taken = self.good = 0
+        peers.linked.append(self.linked)
+        for kind, what in ((f.Wave, self.told), (f.Followed, self.followed), (f.Drain, self.ordered)):
+            peers.follow(kind, what)
+
+    def start(self):
+        self.look()
+
+    def close(self):
+        if self.timer:
+            self.timer.cancel()
+        for site in list(self.wanted):
+            self.tenures.release(f"site/{site}")
+
+    # ---- the desk's port
+    def tells(self, event):
+        clause = self.kinds[event.clause]
+        narrow = clause.memory if clause.kind == "keyed" and clause.group != "all" else 0.0
+        return self.follower.tells(self.now(), event.function, clause.kind, narrow,
+                                   d.session(event.document, event.party, event.function))
+
+    def defers(self, event):
+        return self.tells(event).defer if self.follower.drains else ""
+
+    def away(self, event):
+        if len(self.seen) < KNOWN:
+            self.seen.setdefault(event.function, {})[event.clause] = True
+        return self.tells(event).away if self.follower.drains else ""
+
+    def answered(self, taken, fate, now):
+        self.taken += 1
+        self.good += fate == "handled" and now - taken.at <= self.kinds[taken.event.clause].target
+
+    # ---- waves
+    def told(self, sender, wave):
+        """Goes on to everybody linked, once; copies that stand are told to the module."""
+        if not self.follower.hear(self.now(), wave):
+            held = self.follower.drains.get(wave.site)
+            if held is not None and sender and (held.number, held.wave) > (wave.number, wave.wave):
+                self.peers.say(sender, held)        # whoever is behind hears of it from whom it told
+            return
+        desk = self.shell.desk
+        for one in wave.copies:
+            if one.function in desk.gate.history.functions:
+                self.shell.post(desk.stands, one.function, one.host)
+        for name in list(self.peers.ends):
+            if name != sender:
+                self.peers.say(name, wave)
+        log.info("a site is drained", gateway=self.me, site=wave.site, number=wave.number, wave=wave.wave,
+                 state=wave.state, conductor=wave.conductor, why=wave.why)
+        conductor = self.conductors.get(wave.site)
+        if conductor is not None and wave.conductor != self.me:
+            self.tenures.outdone(f"site/{wave.site}", wave.number)
+
+    def linked(self, name):
+        """Whoever was away hears of what stands from whom it meets first."""
+        for wave in self.follower.drains.values():
+            self.peers.say(name, wave)
+
+    def report(self, site, number, wave):
+        """How this gateway fares, and what it knows of the site."""
+        desk = self.shell.desk
+        in_hand = sum(len(link.out) for host in desk.hosts.values() if host.row.zone == site for link in host.links)
+        lots = sorted(desk.gate.zone.lots(site), key=lambda lot: -lot[1])
+        named, rest = lots[:NAMED], sum(rate for _, rate, _ in lots[NAMED:])
+        told = [self.lot(*one) for one in named if one[1] > 0]
+        if rest:
+            told.append(f.LotTold(REST, rest))
+        zones: dict = {}
+        for host in desk.gate.hosts.values():
+            if host.state == "ready":
+                zones.setdefault(host.zone, []).append(host)
+        rates = desk.gate.handled.read(self.now()) / 2.9 / max(1, len(desk.gate.hosts))
+        zone_rows = [f.ZoneTold(zone, rates * len(hosts), sum(min(1.0, h.used) for h in hosts) / len(hosts))
+                     for zone, hosts in zones.items()]
+        taken, good, self.taken, self.good = self.taken, self.good, 0, 0
+        return f.Followed(self.me, self.peers.me.life, site, number, wave, in_hand, taken, good, told, zone_rows)
+
+    def lot(self, name, rate, hosts):
+        kinds = [self.kinds[c] for c in self.seen.get(name, ())] or list(self.kinds.values())[:1]
+        strict = max(kinds, key=lambda c: ("redeliverable", "keyed", "at-most-once").index(c.kind))
+        return f.LotTold(name, rate, max(self.benefits[c.name] for c in kinds), strict.kind,
+                         max(c.memory for c in kinds), hosts[:8])
+
+    def followed(self, sender, report):
+        if report.to != self.me:
+            self.peers.say(report.to, report)       # a keeper passes it on
+            return
+        self.heard.setdefault(report.site, {})[report.gateway] = (self.now(), report)
+        conductor = self.conductors.get(report.site)
+        if conductor is not None:
+            self.carry_out(report.site, conductor.followed(self.now(), report))
+
+    def send(self, to, message):
+        """To the conductor: straight where it is linked, else by way of a keeper."""
+        message.to = to
+        if to == self.me:
+            return self.loop.call_soon(self.followed if type(message) is f.Followed else self.ordered, "", message)
+        if not self.peers.say(to, message):
+            via = next((name for name in self.tenures.keepers if name in self.peers.ends), None)
+            if via is not None:
+                self.peers.say(via, message)
+
+    # ---- the look
+    def look(self):
+        self.timer = self.loop.call_later(LOOK, self.look)
+        now = self.now()
+        for site, wave in list(self.follower.drains.items()):
+            if wave.state != "over" or now - self.heard.get(site, {}).get(self.me, (now,))[0] < 5000.0:
+                self.send(wave.conductor, self.report(site, wave.number, wave.wave))
+            if wave.state != "over" and site not in self.wanted and self.me in self.tenures.keepers:
+                self.want(site)         # keepers take over a drain whose conductor is lost
+        for site, began in list(self.wanted.items()):
+            conductor = self.conductors.get(site)
+            number = self.tenures.number(f"site/{site}")
+            if conductor is None and number is not None and began is not None and now - began > GATHER:
+                self.conduct(site, number)
+            elif conductor is not None and number == conductor.number:
+                self.carry_out(site, conductor.tick(now))
+
+    # ---- conducting
+    def want(self, site):
+        self.wanted[site] = None
+        self.tenures.hold(f"site/{site}", lambda number: self.began(site, number), lambda number: self.ended(site))
+
+    def began(self, site, number):
+        """Listens first: a word that the drain goes on under a new number has all gateways report here."""
+        self.wanted[site] = self.now()
+        last = self.follower.drains.get(site)
+        wave = f.Wave(site, number, last.wave if last else 0, self.me, last.state if last else "moving",
+                      last.away if last else [], last.shed if last else [], last.copies if last else [],
+                      f"{self.me} conducts")
+        self.told("", wave)
+
+    def ended(self, site):
+        self.conductors.pop(site, None)
+        if site in self.wanted:
+            self.wanted[site] = None
+
+    def lots(self, site):
+        """What all gateways told, as one: (lots, zones)."""
+        sums: dict = {}
+        zones: dict = {}
+        for _, report in self.heard.get(site, {}).values():
+            for one in report.lots:
+                was = sums.get(one.function)
+                sums[one.function] = Lot(
+                    one.function, one.rate + (was.rate if was else 0.0), max(one.benefit, was.benefit if was else 0.0),
+                    max(one.kind, was.kind if was else one.kind, key=("redeliverable", "keyed", "at-most-once").index),
+                    tuple(dict.fromkeys([*(was.hosts if was else ()), *one.hosts])), max(
+                        one.memory, was.memory if was else 0.0))
+            for one in report.zones:
+                zones.setdefault(one.site, []).append((one.rate, one.busy))
+        means = {site: (sum(rate for rate, _ in told), mean([busy for _, busy in told if busy is not None]))
+                 for site, told in zones.items()}
+        return list(sums.values()), means
+
+    def planned(self, site):
+        lots, zones = self.lots(site)
+        room = room_of(zones, site)
+        return plan(lots, 1e9 if room is None else room), lots, zones
+
+    def conduct(self, site, number):
+        """The plan by what has been heard, from the wave that was reached."""
+        made, lots, _ = self.planned(site)
+        last = self.follower.drains[site]
+        copies = [(lot.function, host) for lot in lots for host in lot.hosts if lot.function != REST]
+        one = d.Conductor(site, number, self.me, made, self.peers.members.living, self.now(), last, copies)
+        self.conductors[site] = one
+        log.info("this gateway conducts a site's drain", gateway=self.me, site=site, number=number,
+                 wave=one.wave, waves=len(made.waves), asked=round(made.asked, 1), room=round(made.room, 1))
+        self.carry_out(site, one.start(self.now()))
+
+    def carry_out(self, site, actions):
+        conductor = self.conductors.get(site)
+        for action in actions:
+            if conductor is None or self.tenures.number(f"site/{site}") != conductor.number:
+                return
+            if isinstance(action, d.Open):
+                self.shell.post(self.shell.desk.foreseen, action.function, site)
+            else:
+                self.told("", action.wave)
+                if action.wave.state == "over":
+                    self.loop.call_later(2.0, self.let_go, site)
+
+    def let_go(self, site):
+        self.wanted.pop(site, None)
+        self.conductors.pop(site, None)
+        self.tenures.release(f"site/{site}")
+
+    def loaded(self, function, host, good):
+        """An order of this gateway has ended."""
+        for site, conductor in list(self.conductors.items()):
+            if good and function in conductor.opening:
+                self.carry_out(site, conductor.stands(self.now(), function, host))
+
+    # ---- operators
+    def order(self, said):
+        """A command: drain, plan (a dry run), show, hold, resume, undo."""
+        do, site = said["what"], str(said["site"])
+        sites = {host.row.zone for host in self.shell.desk.hosts.values() if host.row.state != "gone"}
+        if site not in sites:
+            return {"error": f"no host of the list is at site {site!r}; there are {' '.join(sorted(sites)) or 'none'}"}
+        held = self.follower.drains.get(site)
+        on = held is not None and held.state != "over"
+        if do == "show":
+            return self.table(site)
+        if do == "plan":
+            return self.dry(site)
+        if do == "drain":
+            if on:
+                return {"error": f"{site} is drained already, by {held.conductor}: wave {held.wave}, {held.state}"}
+            other = next((w.site for w in self.follower.drains.values() if w.state != "over"), None)
+            if other is not None:
+                return {"error": f"{other} is being drained: one site at a time"}
+            if len(sites) < 2:
+                return {"error": f"{site} has no neighbour"}
+            made = self.dry(site)
+            if made["missing"] > 0 and not said.get("even"):
+                return {"error": f"neighbours have room for {made['room']} of {made['asked']} events a second: "
+                                 f"{made['missing']} are missing"}
+            if held is not None:
+                self.follower.drains.pop(site)
+                self.follower.since.pop(site, None)
+            self.want(site)
+            return self.table(site)
+        if not on:
+            return {"error": f"{site} is not being drained"}
+        self.send(held.conductor, f.Drain(site, do))
+        return self.table(site)
+
+    def ordered(self, sender, message):
+        if message.to != self.me:
+            self.peers.say(message.to, message)
+            return
+        conductor = self.conductors.get(message.site)
+        if conductor is not None:
+            self.carry_out(message.site, conductor.operator(self.now(), message.do))
+
+    def dry(self, site):
+        """What would be done, by what this gateway knows alone, or as conductor by what all have told."""
+        if site not in self.heard:
+            self.heard[site] = {self.me: (self.now(), self.report(site, 0, 0))}
+        made, lots, zones = self.planned(site)
+        by = {lot.function: lot for lot in lots}
+        return {"site": site, "asked": round(made.asked, 1), "room": round(made.room, 1), "shed": made.shed,
+                "missing": round(made.missing, 1), "told by": sorted(self.heard[site]),
+                "sites": {name: {"rate": round(rate, 1), "busy": busy} for name, (rate, busy) in zones.items()},
+                "waves": [[{"function": s.function or "(rest)", "share": round(s.share, 3), "opens": s.opens,
+                            "benefit": by[s.function].benefit if s.function in by else 1.0} for s in wave]
+                          for wave in made.waves]}
+
+    def table(self, site):
+        held, conductor = self.follower.drains.get(site), self.conductors.get(site)
+        said: dict = structs.asdict(held) if held else {"state": "not drained"}
+        if held:
+            said["away"] = [[a.function or "(rest)", round(a.share, 3)] for a in held.away]
+            said["copies"] = len(held.copies)
+        return {"site": site, **said, **({"conductor here": conductor.table()} if conductor else {})}
+
+
+def mean(told):
+    return sum(told) / len(told) if told else None
--- a/cherrydoor/versions/decide.py
+++ b/cherrydoor/versions/decide.py
@@ -96,6 +96,7 @@
     name: str
     fate: str
     took: float
+    host: str = ""
 
 
 @dataclass(slots=True)
--- a/tests/custody/fleet_and_hosts.py
+++ b/tests/custody/fleet_and_hosts.py
@@ -53,10 +53,10 @@
     def lost(self, end):
         self.lost_ends.append(end)
 
-    def send(self, gate, clause, lasts=3000.0, mark="", key="secret", function="deed-1", body=b"body"):
+    def send(self, gate, clause, lasts=3000.0, mark="", key="secret", function="deed-1", body=b"body", document=""):
         self.ids += 1
         self.ends[gate.name].write(m.Event(self.ids, clause, function, lasts, now(), "", mark or f"m{self.ids}",
-                                           key=key, body=body))
+                                           key=key, body=body, document=document))
         return self.ids
 
     def claim(self, gate, taker, event, key="secret", lasts=3000.0):
@@ -73,9 +73,9 @@
 class Town(Fleet):
     """hosts of one work time in ms; each gateway and each host behind the relay."""
 
-    def __init__(self, folder, gates=5, hosts=3, work=600.0, **more):
+    def __init__(self, folder, gates=5, hosts=3, work=600.0, sites=1, **more):
         super().__init__(folder, gates, **more)
-        self.rows, self.count, self.work = Rows(), hosts, work
+        self.rows, self.count, self.work, self.sites = Rows(), hosts, work, sites
 
     async def __aenter__(self):
         catalogue = Catalogue(load=(20, 40), work=(self.work, self.work), memory=(100, 100))
@@ -91,7 +91,7 @@
             host = await self.farm.add(name, Build(eager=False), bind=real)
             host.draw = lambda mean: mean
             self.hosts.append(host)
-            self.roll.set(m.Row(host.id, "ready", 0.0, "floor-0"))
+            self.roll.set(m.Row(host.id, "ready", 0.0, f"floor-{(len(self.hosts) - 1) % self.sites}"))
         self.list_at = f"127.0.0.1:{self.roll.port}"
         await super().__aenter__()
         await self.together()
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -75,10 +75,24 @@
     assert not fleet.gate.order(func, host) and not fleet.gate.may(Open(func), host)
 
 
+def test_a_zone_that_a_session_has_moved_away_from_is_none_of_its_places_and_is_for_others():
+    fleet = Fleet("ab", orders=True)
+    func_at = {fleet.handle(f"f{i}"): f"f{i}" for i in range(20)}
+    a, b = fleet.gate.hosts["a"], fleet.gate.hosts["b"]
+    a.zone, b.zone = "north", "south"
+    func = fleet.gate.history.functions[func_at["a"]]
+    event = Open(func)
+    assert fleet.gate.may(event, a) and fleet.gate.may(event, b)
+    event.away = "north"
+    assert not fleet.gate.may(event, a) and fleet.gate.may(event, b)
+    assert any(name == func.name for name, _, _ in fleet.gate.zone.lots("north"))
+    assert not any(name == func.name for name, _, _ in fleet.gate.zone.lots("south"))
+
+
 class Open:
     """An event that the gate has no other objection to."""
     over = streams = False
-    until, tries, kind = 1e18, (), None
+    until, tries, kind, away = 1e18, (), None, ""
 
     def __init__(self, func):
         self.func, self.clause = func, CLAUSE
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -447,3 +447,13 @@
     fleet.event("deed")
     assert io.Probe not in kinds(fleet.take(io.Wake("sweep"), 2000.0))
     assert io.Probe in kinds(fleet.rest(300.0)), "silence that goes on is the host's"
+
+
+def test_the_first_window_is_counted_from_the_start_and_not_from_1970():
+    """On real clocks the first halving had a span of fifty years: own calls told nothing until the second."""
+    fleet = Fleet("ab")
+    fleet.gate.start(fleet.now)
+    for _ in range(100):
+        fleet.event(later=20.0)
+    fleet.rest(300.0)
+    assert 1900.0 <= fleet.gate.history.span < 4000.0
