--- a/cherrydoor/custody/estate.py
+++ b/cherrydoor/custody/estate.py
@@ -32,6 +32,7 @@
         self.held = {cost: {} for cost in COST.values()}        # cost -> number -> (Trust, until, [Out])
         self.where, self.bytes, self.counts = {}, 0, Counter()
         self.new, self.out, self.over, self.witnesses = {}, [], [], []
+        self.urgent = False
         self.oldest_new = None          # since when something is in hand of which no witness has heard
 
     def taken(self, now, trust, until):
@@ -59,7 +60,9 @@
             if number not in self.new:
                 self.out.append(out)
 
-    def answered(self, number):
+    def answered(self, number, ran=False):
+        """ran: a host has handled it. Then an heir that hears of it late finds that answer at the host, and the word
+        may wait for the next one; else it would be launched after its final answer."""
         cost = self.where.pop(number, None)
         if cost is None:
             return
@@ -67,28 +70,29 @@
         self.bytes -= len(trust.body)
         if not self.new.pop(number, None):      # what no witness has heard of need not be forgotten
             self.over.append(number)
+            self.urgent |= not ran
 
     def pending(self):
-        return bool(self.new or self.out or self.over)
+        """Whether something has to be told at the end of this turn."""
+        return bool(self.new or self.out or self.urgent)
 
     def round(self, now, witnesses):
-        """[(witness, Entrust)]: what is new to each, at the end of a turn; a new witness is told the whole."""
+        """[(witnesses, Entrust)]: what is new to each, at the end of a turn; a new witness is told the whole."""
         told = [name for name in witnesses if name in self.witnesses]
         fresh = [name for name in witnesses if name not in self.witnesses]
         dropped = [name for name in self.witnesses if name not in witnesses]
         messages = []
-        if told and self.pending():
+        if told and (self.pending() or self.over):
             events = [self.left(now, number) for number in self.new]
             out = [*self.out, *(o for number in self.new for o in self.held[self.where[number]][number][2])]
-            messages += [(name, Entrust(self.life, witnesses.index(name), False, events, out, self.over))
-                         for name in told]
+            messages.append((told, Entrust(self.life, 0, False, events, out, self.over)))
         if fresh:
             events = [self.left(now, number) for number in self.where]
             out = [o for number, cost in self.where.items() for o in self.held[cost][number][2]]
-            messages += [(name, Entrust(self.life, witnesses.index(name), True, events, out)) for name in fresh]
-        messages += [(name, Entrust(self.life, 0, True)) for name in dropped]
+            messages += [([name], Entrust(self.life, witnesses.index(name), True, events, out)) for name in fresh]
+        messages += [([name], Entrust(self.life, 0, True)) for name in dropped]
         if witnesses:
-            self.new, self.out, self.over, self.oldest_new = {}, [], [], None
+            self.new, self.out, self.over, self.oldest_new, self.urgent = {}, [], [], None, False
         self.witnesses = list(witnesses)
         return messages
 
@@ -142,7 +146,8 @@
         estate = self.estates.get(key)
         if estate is None or said.whole:
             estate = self.estates[key] = Estate(giver, said.life, said.rank)
-        estate.rank = said.rank
+        if said.whole:
+            estate.rank = said.rank
         for trust in said.events:
             if len(estate.lines) >= EVENTS or estate.bytes + len(trust.body) > BYTES:
                 self.counts["beyond the bound of a giver"] += 1
--- a/cherrydoor/custody/shell.py
+++ b/cherrydoor/custody/shell.py
@@ -64,7 +64,7 @@
         self.giver.launched(taken.number, host)
 
     def over(self, taken):
-        self.giver.answered(taken.number)
+        self.giver.answered(taken.number, any(sent.fate == "handled" for sent in taken.launches))
 
     def finds(self, taken):
         """A plain repeat of what is in an estate that is being taken over, and may not run beside it: its answer is
@@ -100,14 +100,18 @@
         return d.after_adoption(self.kinds[taken.event.clause], fate)
 
     # ---- the turn's end
-    def turned(self):
-        if self.giver.pending() or self.giver.witnesses != self.linked():
-            now = self.now()
-            if self.giver.oldest_new is not None and self.linked():
-                self.delays.append(now - self.giver.oldest_new)
-                del self.delays[:-1000]
-            for name, message in self.giver.round(now, self.linked()):
-                self.peers.say(name, message)
+    def turned(self, late=False):
+        """late: what may wait is told, too."""
+        giver = self.giver
+        if not giver.pending() and not (late and (giver.over or giver.witnesses != self.linked())):
+            return
+        now, linked = self.now(), self.linked()
+        if giver.oldest_new is not None and linked:
+            self.delays.append(now - giver.oldest_new)
+            if len(self.delays) > 2000:
+                del self.delays[:1000]
+        for names, message in giver.round(now, linked):
+            self.peers.say_all(names, message)
 
     def linked(self):
         """Witnesses that can be told now, in their order."""
@@ -134,7 +138,7 @@
         for name in list(self.giver.witnesses):
             if name not in self.linked():
                 self.giver.unheard(name)
-        self.turned()
+        self.turned(True)
         for number, (_, until, then) in list(self.asked.items()):
             if until <= now:
                 del self.asked[number]
--- a/cherrydoor/emulator/play.py
+++ b/cherrydoor/emulator/play.py
@@ -25,7 +25,8 @@
 from cherrydoor.standin.roll import Roll
 from cherrydoor.standin.store import Store
 
-LEFT_OUT = ("flood", "reconnect", "key-change", "cut-off", "noise")     # they are of sockets, descriptors and TLS
+# they are of sockets, descriptors and TLS, or of fellows behind a relay
+LEFT_OUT = ("flood", "reconnect", "key-change", "cut-off", "noise", "site-drain", "conductor-crash")
 
 
 class Spoken:
--- a/cherrydoor/peers/shell.py
+++ b/cherrydoor/peers/shell.py
@@ -6,6 +6,7 @@
 import structlog
 
 from cherrydoor.ends import End
+from cherrydoor.frames import codec
 from cherrydoor.frames import messages as m
 from cherrydoor.frames import peers as p
 from cherrydoor.frames.site import SITE
@@ -121,6 +122,13 @@
             end.write(message)
         return end is not None
 
+    def say_all(self, names, message):
+        """The same to several, encoded once."""
+        data = codec.encode(message)
+        for name in names:
+            if name in self.ends:
+                self.ends[name].write_bytes(data)
+
     def ask(self, name):
         """Wants a link to this name for a while."""
         self.carry_out(self.links.ask(self.now(), name))
--- a/cherrydoor/rehearsal/acts.py
+++ b/cherrydoor/rehearsal/acts.py
@@ -1,6 +1,7 @@
 """What a conductor does at each step of a day's troubles."""
 
 import asyncio
+import json
 import signal
 from typing import Any
 
@@ -80,6 +81,46 @@
             self.record.add("gateway cut off" if on else "gateway reached", f"g{gateway}")
             await self.between.tell("set", origin=f"g{gateway}", to="*", both=True, cut=on)
 
+    async def ask(self, said):
+        """The answer of the first gateway that runs and gives one; None where there is none."""
+        for number, (part, _) in sorted(self.gateways.items()):
+            if part.process.returncode is not None:
+                continue
+            try:
+                async with asyncio.timeout(1.0):
+                    reader, writer = await asyncio.open_unix_connection(str(self.folder / f"g{number}.control"))
+                    writer.write(json.dumps(said).encode() + b"\n")
+                    line = await reader.readline()
+                    writer.close()
+                    if line:
+                        return json.loads(line)
+            except (OSError, TimeoutError):
+                continue
+        return None
+
+    async def do_site(self, site, word):
+        """An operator's word; what becomes of the drain is noted as gateways tell it."""
+        answer = await self.ask({"do": "site", "what": word, "site": site, "even": True})
+        self.record.add("site", fate=word, text=site, function=str((answer or {}).get("error", "")))
+        last = None
+        while word == "drain" and (said := await self.ask({"do": "site", "what": "show", "site": site})) is not None:
+            state = said.get("state", ""), said.get("wave", 0), said.get("conductor", "")
+            if state != last:
+                self.record.add("site", peer=state[2], fate=state[0], number=state[1], text=site)
+                last = state
+            if state[0] == "over":
+                break
+            await asyncio.sleep(0.1)
+
+    async def do_kill_conductor(self, back):
+        """Whoever conducts a drain, and nobody else; it comes back later."""
+        for site in self.day["fleet"]["floors"]:
+            name = (await self.ask({"do": "site", "what": "show", "site": site}) or {}).get("conductor")
+            if name:
+                await self.do_kill_gateway(int(name[1:]))
+                await asyncio.sleep(back / 1000)
+                return await self.do_start_gateway(int(name[1:]))
+
     async def do_noise(self, values):
         await self.between.tell("set", origin="g*", to="g*", **values)
 
--- a/cherrydoor/rehearsal/clients.py
+++ b/cherrydoor/rehearsal/clients.py
@@ -102,12 +102,17 @@
         self.record.add("sent", t=t, text="extra" if a.extra[i] else "", **row)
         conn.end.write(m.Event(one.id, event["name"], row["function"], lasts, t, row["party"], row["mark"],
                                self.lanes(a.function[i]), self.load(a.function[i]), self.bodies[a.clause[i]],
-                               key=f"{self.chance('key', one.id):.17f}"))
+                               key=f"{self.chance('key', one.id):.17f}", document=self.document(a.function[i], i)))
         one.taker = conn.name, conn.life
         self.later(one.until, self.gave_up, one)
         if a.leaves[i] and one.index == 0:
             self.later(t + float(a.leaves[i]), self.withdraw, one)
 
+    def document(self, function, i):
+        """A session calls one function: so many of them for each."""
+        count = self.day["clients"].get("documents", 0)
+        return f"{function_name(function)}/{i % count}" if count else ""
+
     def lanes(self, function):
         lanes = self.day["functions"]["lanes"]
         return float(lanes[crc32(f"lanes/{function_name(function)}".encode()) % len(lanes)])
--- a/cherrydoor/rehearsal/estates.py
+++ b/cherrydoor/rehearsal/estates.py
@@ -5,6 +5,8 @@
 
 from cherrydoor.rehearsal.seen import SLACK
 
+EMPTIES = 6000.0        # ms in which every gateway has to hear that a site is to be empty, a straggler among them
+
 
 class Estates:
     """Lives that are over, as hosts were told; what was seen is the audit's."""
@@ -40,6 +42,22 @@
                 if answer is not None and row["peer"] != taker and row["t"] > answer["t"] + SLACK:
                     self.broke(1, row["t"], "a launch elsewhere after the final answer", row["peer"], number)
 
+    def emptied(self):
+        """Nothing is steered to a site from when its drain says that it is empty until it is undone."""
+        zones = {row["who"]: row["text"].split("/")[0] for row in self.seen.of("host", "host up")}
+        spans, since = [], {}
+        for row in self.seen.of("conductor", "site"):
+            if row["fate"] == "empty":
+                since.setdefault(row["text"], row["t"])
+            elif row["fate"] in ("undo", "undoing", "over") and row["text"] in since:
+                spans.append((row["text"], since.pop(row["text"]), row["t"]))
+        spans += [(site, begun, float("inf")) for site, begun in since.items()]
+        for number, launches in self.launches.items():
+            for row in launches:
+                for site, begun, end in spans:
+                    if zones.get(row["who"]) == site and begun + SLACK + EMPTIES < row["t"] < end:
+                        self.broke(3, row["t"], f"a launch at {site}, which is said to be empty", row["peer"], number)
+
     def taken_over(self):
         """What became of events whose connection ended without an answer; {} where nothing could be claimed."""
         claims = {row["event"] for row in self.seen.of("client", "claims")}
--- a/cherrydoor/rehearsal/troubles.py
+++ b/cherrydoor/rehearsal/troubles.py
@@ -157,6 +157,21 @@
         self.add(at, "cut", gateways=gateways, on=True)
         self.add(end, "cut", gateways=gateways, on=False)
 
+    def site_drain(self, trouble, at, end):
+        """The floor's sessions go to neighbours, by an operator's word to gateways; with a size below 1 its hosts are
+        set to drain in the list at once instead, as without any of this. Undone at the end."""
+        floors = self.day["fleet"]["floors"]
+        site = floors[trouble["floor"]]
+        if trouble["size"] < 1:
+            for host in [h for h in self.hosts if self.root(h) % len(floors) == trouble["floor"]]:
+                self.add(at, "drain", host=host)
+            return
+        self.add(at, "site", site=site, word="drain")
+        self.add(end, "site", site=site, word="undo")
+
+    def conductor_crash(self, trouble, at, end):
+        self.add(at, "kill conductor", back=end - at)
+
     def noise(self, trouble, at, end):
         """Frames between gateways come late, twice and out of order, and a share (`part`) not at all."""
         self.add(at, "noise", values={"delay": 1.0, "spread": 20.0 * trouble["size"], "double": 0.1, "reorder": 0.1,
--- a/cherrydoor/tenure/decide.py
+++ b/cherrydoor/tenure/decide.py
@@ -22,6 +22,7 @@
 from cherrydoor.frames.peers import Granted, Refused, Seek, Yield
 
 FIRST, LONGEST = 50.0, 2000.0       # ms of the first back-off, and of the longest
+AGAIN = 250.0           # ms after which one that is held by another is asked for again
 ROUND = 400.0           # ms after which a round of asking is given up
 MOST = 4096             # tasks that a keeper remembers by name; the oldest then fall into `floor`
 
@@ -206,9 +207,12 @@
     def again(self, now, why, wait=0.0):
         """A round is lost: what was granted is given back at once, and the next one is later by chance."""
         back = [Say(keeper, Yield(self.task, self.number)) for keeper in self.keepers]
-        span = min(LONGEST, FIRST * 2 ** min(self.tries, 6))
-        self.state, self.highest, self.tries = "waiting", max(self.highest, self.number), self.tries + 1
-        self.at = now + min(wait, self.terms.longest) + self.spread(span)
+        self.state, self.highest = "waiting", max(self.highest, self.number)
+        if wait:        # somebody holds it: it may be handed over sooner than its time runs out
+            self.tries, self.at = 0, now + min(wait, AGAIN) + self.spread(FIRST)
+            return back
+        self.at = now + self.spread(min(LONGEST, FIRST * 2 ** min(self.tries, 6)))
+        self.tries += 1
         return back
 
     def end(self, now, why):
--- a/tests/rehearsal/test_audit_estates.py
+++ b/tests/rehearsal/test_audit_estates.py
@@ -94,3 +94,14 @@
     run.add("client", "answer", run.at + 130, peer="g0", id=8, event=8, fate="handled")
     broken, found = run.judge(tmp_path)
     assert broken == [(1, 8)] and "second final answer" in found["broken"][0]["what"]
+
+
+def test_a_launch_at_a_site_that_is_said_to_be_empty(run, tmp_path):
+    for host, zone in (("h1", "floor-1/0"), ("h2", "floor-2/0")):
+        next(r for r in run.rows if r["what"] == "host up" and r["who"] == host)["text"] = zone
+    run.add("conductor", "site", run.at + 1000, fate="empty", text="floor-2")
+    run.event(40, run.at + 9000, "draft", host="h1")
+    run.event(41, run.at + 9000, "draft", host="h2")
+    run.add("conductor", "site", run.at + 10000, fate="undo", text="floor-2")
+    run.event(42, run.at + 19000, "draft", host="h2")
+    assert run.judge(tmp_path)[0] == [(3, 41)]
