Fellows in the emulator; four faults of takeovers found there and mended; hosts count numbers by life

Found at once: (1) an at-most-once event ran twice: a host compared (life, number) as a pair, so an earlier life's heir was refused where a later life had been declared over first, under the same number, and took the empty answer for 'never ran'. (2) A gateway that was linked and no longer a witness kept its lines, and launched what had been answered seconds before when their giver died: look() took it for unlinked, so no round ever told it. It is told now, and a witness drops an estate whose giver is there and not linked to it, as that one tells others by then. What was under way on a link that is made anew is lost: the whole is told on each that comes up. (4) What a woken gateway had read and not taken was dropped without an answer: it is deferred now, as what was unread. Loops of a life that is over are stopped by their own look, too.

--- a/cherrydoor/custody/decide.py
+++ b/cherrydoor/custody/decide.py
@@ -131,7 +131,7 @@
         self.asked.pop(host, None)
         if holds is not None and holds.highest > self.number:
             self.outdone = max(self.outdone, holds.highest)
-        elif holds is not None and not self.decided:
+        elif holds is not None and holds.highest == self.number and not self.decided:   # else it has not said
             self.heard[host] = True
             for job in holds.jobs:
                 self.found.setdefault((job.client, job.event), []).append((host, job))
--- a/cherrydoor/custody/estate.py
+++ b/cherrydoor/custody/estate.py
@@ -32,7 +32,6 @@
         self.held = {cost: {} for cost in COST.values()}        # cost -> number -> (Trust, until, [Out])
         self.where, self.bytes, self.counts = {}, 0, Counter()
         self.new, self.out, self.over, self.witnesses = {}, [], [], []
-        self.urgent = False
         self.oldest_new = None          # since when something is in hand of which no witness has heard
 
     def taken(self, now, trust, until):
@@ -60,9 +59,9 @@
             if number not in self.new:
                 self.out.append(out)
 
-    def answered(self, number, ran=False):
-        """ran: a host has handled it. Then an heir that hears of it late finds that answer at the host, and the word
-        may wait for the next one; else it would be launched after its final answer."""
+    def answered(self, number):
+        """Told at the end of the turn, too: an heir that had not heard would launch it after its final answer, where
+        the host that handled it is lost as well."""
         cost = self.where.pop(number, None)
         if cost is None:
             return
@@ -70,11 +69,10 @@
         self.bytes -= len(trust.body)
         if not self.new.pop(number, None):      # what no witness has heard of need not be forgotten
             self.over.append(number)
-            self.urgent |= not ran
 
     def pending(self):
         """Whether something has to be told at the end of this turn."""
-        return bool(self.new or self.out or self.urgent)
+        return bool(self.new or self.out or self.over)
 
     def round(self, now, witnesses):
         """[(witnesses, Entrust)]: what is new to each, at the end of a turn; a new witness is told the whole."""
@@ -82,7 +80,7 @@
         fresh = [name for name in witnesses if name not in self.witnesses]
         dropped = [name for name in self.witnesses if name not in witnesses]
         messages = []
-        if told and (self.pending() or self.over):
+        if told and self.pending():
             events = [self.left(now, number) for number in self.new]
             out = [*self.out, *(o for number in self.new for o in self.held[self.where[number]][number][2])]
             messages.append((told, Entrust(self.life, 0, False, events, out, self.over)))
@@ -92,7 +90,7 @@
             messages += [([name], Entrust(self.life, witnesses.index(name), True, events, out)) for name in fresh]
         messages += [([name], Entrust(self.life, 0, True)) for name in dropped]
         if witnesses:
-            self.new, self.out, self.over, self.oldest_new, self.urgent = {}, [], [], None, False
+            self.new, self.out, self.over, self.oldest_new = {}, [], [], None
         self.witnesses = list(witnesses)
         return messages
 
@@ -125,6 +123,7 @@
 
     def __init__(self, giver, life, rank):
         self.giver, self.life, self.rank, self.lines, self.bytes = giver, life, rank, {}, 0
+        self.cut = None             # since when its giver is not linked here
 
     @property
     def task(self):
@@ -164,9 +163,18 @@
         line = estate.lines.pop(number, None)
         estate.bytes -= len(line.trust.body) if line else 0
 
-    def tick(self, now, states):
-        """(estates to seek, estates to let be). states: name -> (life, state) as members tell it."""
+    def tick(self, now, states, linked, stale):
+        """(estates to seek, estates to let be). states: name -> (life, state) as members tell it; linked: names; stale:
+        ms after which an estate is dropped whose giver is there and not linked here: it tells others by now, and what
+        it has answered since is not known here."""
         seek, leave = [], []
+        for key, estate in list(self.estates.items()):
+            estate.cut = None if estate.giver in linked else estate.cut if estate.cut is not None else now
+            here = states.get(estate.giver) == (estate.life, "here")
+            if here and estate.cut is not None and now - estate.cut > stale:
+                self.counts["estates that had become stale"] += 1
+                del self.estates[key]
+                leave.append(estate)
         for key, estate in list(self.estates.items()):
             for number in [n for n, line in estate.lines.items() if line.until <= now]:
                 self.drop(estate, number)
--- a/cherrydoor/custody/fellows.py
+++ b/cherrydoor/custody/fellows.py
@@ -7,6 +7,7 @@
 from cherrydoor.gateway.control import Control
 from cherrydoor.peers.shell import Peers
 from cherrydoor.site.shell import Sites
+from cherrydoor.tenure.promises import File
 from cherrydoor.tenure.shell import Tenures
 
 log = structlog.get_logger()
@@ -16,10 +17,11 @@
 class Fellows:
     """What a gateway's shell knows of all this: life, start(), turned(), reclaim(), standing(), close(), abort()."""
 
-    def __init__(self, shell, life=0):
+    def __init__(self, shell, life=0, file=None):
+        """file: makes what keeps a keeper's promises, of a path and a name; on disk unless said."""
         said = shell.figures.peers
         self.shell, self.peers = shell, Peers(shell, said, life)
-        self.tenures = Tenures(self.peers, shell.figures.tenures)
+        self.tenures = Tenures(self.peers, shell.figures.tenures, file or File)
         self.custody = Custody(self.peers, self.tenures)
         self.sites = Sites(self.peers, self.tenures)
         self.control = Control(said["control"], self.obey) if said["control"] else None
@@ -51,6 +53,8 @@
 
     def seen(self):
         """After each look at the links: whether others hold this life to be over."""
+        if self.shell.fellows is not self:
+            return
         if self.stood_still():
             return self.shell.life_over(STILL)
         self.custody.again(None, 0)
@@ -109,7 +113,8 @@
     def table(self):
         members, links = self.peers.members, self.peers.links
         now = self.peers.now()
-        return {"gateway": self.peers.me.name, "life": self.life, "witnesses": links.witnesses, "members": [
+        return {"gateway": self.peers.me.name, "life": self.life, "witnesses": links.witnesses,
+                "frames": self.peers.frames, "bytes": self.peers.bytes, "members": [
             {"name": row.name, "life": row.life, "at": row.at, "site": row.site, "state": row.state,
              "keeper": row.keeper, "linked": links.is_up(row.name),
              "since": round(now - members.since[row.name], 1)}
--- a/cherrydoor/custody/shell.py
+++ b/cherrydoor/custody/shell.py
@@ -4,8 +4,6 @@
 by an event.
 """
 
-import asyncio
-
 import structlog
 
 from cherrydoor.custody import decide as d
@@ -26,7 +24,7 @@
 
     def __init__(self, peers, tenures):
         self.peers, self.tenures, self.shell, self.now = peers, tenures, peers.shell, peers.now
-        self.loop, self.kinds = asyncio.get_running_loop(), {
+        self.loop, self.kinds = peers.loop, {
             one.name: d.Kind(one.kind, one.group, one.memory, one.stream) for one in self.shell.figures.lease.clauses}
         self.giver, self.witness, self.claims = Giver(peers.me.life, self.kinds), Witness(), Claims()
         self.heirs = Heirs(self)
@@ -35,7 +33,8 @@
                            (p.Claimed, self.answered)):
             peers.follow(kind, what)
         tenures.refusing.append(self.refuses)
-        peers.linked.append(self.heirs.linked)
+        # what was under way on the link before is lost: the whole is told on each that comes up
+        peers.linked += [self.heirs.linked, self.giver.unheard]
 
     def start(self):
         self.look()
@@ -64,7 +63,7 @@
         self.giver.launched(taken.number, host)
 
     def over(self, taken):
-        self.giver.answered(taken.number, any(sent.fate == "handled" for sent in taken.launches))
+        self.giver.answered(taken.number)
 
     def finds(self, taken):
         """A plain repeat of what is in an estate that is being taken over, and may not run beside it: its answer is
@@ -101,9 +100,9 @@
 
     # ---- the turn's end
     def turned(self, late=False):
-        """late: what may wait is told, too."""
+        """late: at a look, which also sees other witnesses."""
         giver = self.giver
-        if not giver.pending() and not (late and (giver.over or giver.witnesses != self.linked())):
+        if not giver.pending() and not (late and giver.witnesses != self.linked()):
             return
         now, linked = self.now(), self.linked()
         if giver.oldest_new is not None and linked:
@@ -123,10 +122,12 @@
         self.witness.entrusted(self.now(), sender, message)
 
     def look(self):
+        if self.peers.closed:
+            return
         now = self.now()
         self.timer = self.loop.call_later(LOOK, self.look)
         states = {row.name: (row.life, row.state) for row in self.peers.members.members.values()}
-        seek, leave = self.witness.tick(now, states)
+        seek, leave = self.witness.tick(now, states, self.peers.ends, self.peers.links.silent)
         for estate in seek:
             self.tenures.hold(estate.task, lambda number, estate=estate: self.heirs.began(estate, number),
                               lambda number, estate=estate: self.heirs.ended(estate), estate.rank * d.STAGGER)
@@ -136,7 +137,7 @@
         self.heirs.look(now)
         self.claims.tick(now)
         for name in list(self.giver.witnesses):
-            if name not in self.linked():
+            if name not in self.peers.ends:     # who is linked and no longer a witness is told so by the next round
                 self.giver.unheard(name)
         self.turned(True)
         for number, (_, until, then) in list(self.asked.items()):
--- a/cherrydoor/emulator/doors.py
+++ b/cherrydoor/emulator/doors.py
@@ -1,10 +1,15 @@
 """A gateway of the daemon's own text on the world's time and pipes."""
 
 import asyncio
+from typing import Any
+
+import msgspec
 
 from cherrydoor.admission import decide as d
 from cherrydoor.admission.listener import word_of
+from cherrydoor.custody.fellows import Fellows
 from cherrydoor.gateway.shell import Shell
+from cherrydoor.tenure import decide
 
 
 class Clock:
@@ -60,12 +65,63 @@
         self.end.resume()
 
 
+class Promises:
+    """A keeper's file, in the world's memory: what was synced outlives the gateway."""
+
+    def __init__(self, disk, path, name):
+        self.disk, self.path = disk, path
+
+    def read(self):
+        kept = self.disk.get(self.path)
+        return msgspec.json.decode(kept, type=decide.Promises) if kept else None
+
+    def save(self, promises, then):
+        self.disk[self.path] = msgspec.json.encode(promises)
+        then()
+
+    def close(self):
+        pass
+
+
+class Standing:
+    """The world's loop as one gateway has it: what would be called while it stands still is called as it goes on."""
+
+    def __init__(self, door, world):
+        self.door, self.world, self.late = door, world, []
+
+    def __getattr__(self, name):
+        return getattr(self.world, name)
+
+    def guarded(self, what, args):
+        if self.door.dead:
+            return
+        if self.door.stands:
+            self.late.append((what, args))
+        else:
+            what(*args)
+
+    def call_later(self, delay, what, *args):
+        return self.world.call_later(delay, self.guarded, what, args)
+
+    def call_soon(self, what, *args):
+        return self.world.call_soon(self.guarded, what, args)
+
+    def go_on(self):
+        late, self.late = self.late, []
+        for what, args in late:
+            self.world.call_soon(what, *args)
+
+
 class Door(Shell):
     """A gateway of the daemon's own text; dead or standing still where the day says so."""
 
-    def __init__(self, world, figures, gate):
+    def __init__(self, world, figures, gate, disk=None):
+        """disk: what keepers have synced, by path; None leaves the gateway alone."""
         self.world, self.dead, self.stands, self.late, self.listener = world, False, False, False, None
-        super().__init__(figures, gate, Uses(), None, Clock(world))
+        super().__init__(figures, gate, Uses(), None, Clock(world), None if disk is None else lambda shell, life=0: (
+            Fellows(shell, life, lambda path, name: Promises(disk, path, name))
+            if shell.figures.peers["door"] else None))
+        self.loop: Any = Standing(self, world)
 
     def listen(self, where, make, context):
         host, port = where
@@ -98,6 +154,7 @@
         found += [caller.wire.end.transport for caller in list(self.hall.guard.porch.unshown) if caller.wire.end]
         found += [link.wire.transport for host in self.desk.hosts.values() for link in host.links if link.wire]
         found += [end.transport for end in (self.roll.end, self.releases and self.releases.end) if end]
+        found += [end.transport for end in self.fellows.peers.ends.values()] if self.fellows else []
         return [wire for wire in found if wire is not None]
 
     def kill(self):
@@ -111,6 +168,8 @@
             self.timer.cancel()
         for wire in self.wires():
             wire.abort()
+        if self.fellows:
+            self.fellows.abort()
 
     def stand(self, still):
         self.stands = still
@@ -118,6 +177,8 @@
             wire.frozen = still
             if not still:
                 self.world.call_soon(wire.release)
+        if not still:
+            self.loop.go_on()
         if not still and self.late:
             self.late = False
             self.world.call_soon(self.turn)
--- a/cherrydoor/emulator/play.py
+++ b/cherrydoor/emulator/play.py
@@ -56,7 +56,7 @@
             day = day | {"fellows": day["fellows"] | {"between": False}}
         super().__init__(day | {"without": [*day.get("without", ()), *LEFT_OUT]}, folder, tell)
         self.world: Any = asyncio.get_running_loop()
-        self.records, self.shells = [self.record], {}
+        self.records, self.shells, self.disk = [self.record], {}, {}
         self.ports: Any = self      # ports are the world's
 
     def take(self):
@@ -106,6 +106,7 @@
                               day["feed"]["misses"], day["seed"]).start()
             self.feed = Spoken("feed", lambda name, values: feed.release(**values))
             self.feed_at = f"127.0.0.1:{feed.port}"
+        await self.meet()
         count = day["gateways"]["count"]
         for group in in_processes(count, day["gateways"]["in_a_process"], len(day["fleet"]["floors"])):
             await self.start_gateways(group)
@@ -130,11 +131,12 @@
         decides = self.day["gateways"]["decides"]
         for number in group:
             door = self.doors.get(number) or self.take()
-            said = lease_values(self.day, number, door, self.list_at, self.folder, self.feed_at)
-            said.get("releases", {}).pop("control", None)
+            said = lease_values(self.day, number, door, self.list_at, self.folder, self.feed_at, self.meets)
+            for part in ("releases", "peers"):
+                said.get(part, {}).pop("control", None)
             text = show(said)
             figures = Figures(read(text, f"g{number}.lease", schema("lease.schema"), "#Lease"))
-            shell = self.shells[number] = Door(self.world, figures, MAKERS.get(decides, Gateway))
+            shell = self.shells[number] = Door(self.world, figures, MAKERS.get(decides, Gateway), self.disk)
             await shell.start()
             self.doors[number], self.gateways[number] = door, (Spoken(f"g{number}", None), group)
             self.record.add("gateway up", f"g{number}")
--- a/cherrydoor/gateway/door.py
+++ b/cherrydoor/gateway/door.py
@@ -70,7 +70,7 @@
         shell = self.shell
         if end not in self.ends:
             if end.stay is not None and type(message) is m.Event:
-                end.write(m.Answer(message.id, "deferred", end.stay, "this gateway's life is over"))
+                shell.unread(end.client, message, end.stay)
             return
         if type(message) is m.Event:
             shell.post(shell.desk.came, end.client, message)
--- a/cherrydoor/gateway/shell.py
+++ b/cherrydoor/gateway/shell.py
@@ -21,6 +21,7 @@
 from cherrydoor.versions.feed import Releases
 
 log = structlog.get_logger()
+LIFE_OVER = "this gateway's life is over"
 
 
 class Shell(Turn):
@@ -145,7 +146,16 @@
             said = None if taken.over else fellows.custody.ends(taken)
             if said is not None:
                 taken.client.wire.write(m.Answer(taken.event.id, said[0], stays.get(taken.client.wire, 0.0), said[1]))
-        self.begin_again(lambda end: self.door.let_go(end, "this gateway's life is over", stays[end]))
+        for what, args in self.desk.inputs:
+            if what == self.desk.came:
+                client, event = args
+                self.unread(client, event, stays.get(client.wire, 0.0))
+        self.begin_again(lambda end: self.door.let_go(end, LIFE_OVER, stays[end]))
+
+    def unread(self, client, event, stay):
+        """What a life that is over had not read or not taken: deferred, unless its time is over as well."""
+        if event.lasts > client.late(event.sent, self.clock.now()):
+            client.wire.write(m.Answer(event.id, "deferred", stay, LIFE_OVER))
 
     def drain(self, reason):
         if self.desk.draining is None:
--- a/cherrydoor/peers/shell.py
+++ b/cherrydoor/peers/shell.py
@@ -1,7 +1,6 @@
 """Links to peers on sockets: bytes to notes and actions to bytes. What is linked to whom is decided in links.py."""
 
 import asyncio
-from time import time
 
 import structlog
 
@@ -33,6 +32,11 @@
         super().__init__(peers, (*p.PEER, *SITE), peers.hello, WAITING)
         self.peers, self.dialled, self.name, self.stands = peers, name, name, False
 
+    def write_bytes(self, data):
+        self.peers.frames += 1
+        self.peers.bytes += len(data)
+        super().write_bytes(data)
+
 
 class Peers:
     """The links of one gateway. Others follow what passes by `follow(kind, what)`, and each change of who is there by
@@ -40,10 +44,10 @@
 
     def __init__(self, shell, said, life=None):
         """shell: the gateway's; said: the lease's record of peers."""
-        self.shell, self.said, self.loop = shell, said, asyncio.get_running_loop()
+        self.shell, self.said, self.loop = shell, said, shell.loop
         name = shell.figures.name
         keepers = {one["name"]: one["at"] for one in said["keepers"]}
-        self.me = Me(name, life or int(time() * 1000), said["at"] or said["door"], shell.figures.lease.zone,
+        self.me = Me(name, life or int(shell.clock.now()), said["at"] or said["door"], shell.figures.lease.zone,
                      name in keepers)
         now = self.now()
         self.members = Members(self.me, now)
@@ -52,6 +56,7 @@
         self.linked: list = []          # callables: told of a name that has just been linked
         self.ends, self.handlers, self.changed, self.server, self.tasks = {}, {}, [], None, set()
         self.timer, self.closed, self.warned = None, False, False
+        self.frames = self.bytes = 0        # sent to peers
 
     def now(self):
         return self.shell.clock.now()
@@ -93,6 +98,8 @@
 
     # ---- decisions
     def look(self):
+        if self.closed:
+            return
         self.timer = self.loop.call_later(LOOK, self.look)
         self.carry_out(self.links.tick(self.now()))
         if self.members.doubled and not self.warned:
--- a/cherrydoor/site/shell.py
+++ b/cherrydoor/site/shell.py
@@ -1,7 +1,5 @@
 """A site's drain at one gateway: follows waves, tells how it fares, and conducts where it holds the site's tenure."""
 
-import asyncio
-
 import structlog
 from msgspec import structs
 
@@ -21,7 +19,7 @@
 
     def __init__(self, peers, tenures):
         self.peers, self.tenures, self.shell, self.now = peers, tenures, peers.shell, peers.now
-        self.loop, self.me, self.follower = asyncio.get_running_loop(), peers.me.name, d.Follower()
+        self.loop, self.me, self.follower = peers.loop, peers.me.name, d.Follower()
         lease = self.shell.figures.lease
         self.kinds = {c.name: c for c in lease.clauses}
         self.benefits = self.shell.figures.benefits
@@ -131,6 +129,8 @@
 
     # ---- the look
     def look(self):
+        if self.peers.closed:
+            return
         self.timer = self.loop.call_later(LOOK, self.look)
         now = self.now()
         for site, wave in list(self.follower.drains.items()):
--- a/cherrydoor/tenure/shell.py
+++ b/cherrydoor/tenure/shell.py
@@ -1,7 +1,5 @@
 """Tenures of one gateway over its links: the keeper, if it is one, and the contenders for what it wants to hold."""
 
-import asyncio
-
 import structlog
 
 from cherrydoor.frames.peers import Granted, Refused, Seek, Yield
@@ -15,14 +13,14 @@
 class Tenures:
     """hold(task, began, ended) asks for a task until release(task): began(number) and ended(number) come in turn."""
 
-    def __init__(self, peers, said):
-        """said: the lease's record of tenures."""
-        self.peers, self.said, self.loop = peers, said, asyncio.get_running_loop()
+    def __init__(self, peers, said, file=File):
+        """said: the lease's record of tenures; file: what keeps a keeper's promises."""
+        self.peers, self.said, self.loop = peers, said, peers.loop
         self.me, self.now = peers.me.name, peers.now
         self.terms = Terms(said["term"], said["drift"], said["margin"], said["longest"])
         self.keepers = [one["name"] for one in peers.said["keepers"]]
         self.wanted, self.holding, self.timer, self.closed = {}, {}, None, False
-        self.file = File(said["promises"], self.me) if self.me in self.keepers else None
+        self.file = file(said["promises"], self.me) if self.me in self.keepers else None
         self.refusing = []              # callables: a reason not to grant a task, "" for none
         self.keeper = Keeper(self.terms, self.now(), self.file.read(), self.refuses) if self.file else None
         for kind, what in ((Seek, self.to_keeper), (Yield, self.to_keeper), (Granted, self.to_contender),
@@ -86,6 +84,8 @@
         if self.timer:
             self.timer.cancel()
             self.timer = None
+        if self.closed:
+            return
         now = self.now()
         for one, _, _ in list(self.wanted.values()):
             self.carry_out(one.tick(now))
