--- a/cherrydoor/gateway/desk.py
+++ b/cherrydoor/gateway/desk.py
@@ -11,8 +11,8 @@
 from cherrydoor import interface as io
 from cherrydoor.frames import messages as m
 from cherrydoor.gateway.alarms import Alarms
+from cherrydoor.gateway.books import OPEN, Sent, Taken
 from cherrydoor.gateway.books import Client as Client
-from cherrydoor.gateway.books import Sent, Taken
 from cherrydoor.gateway.inheritance import Inheritance
 from cherrydoor.gateway.links import Links
 
@@ -222,6 +222,15 @@
         """Others tell that a copy of the function stands there: as good as an order's answer."""
         self.notes.append(io.Loaded(name, host, io.HANDLED, 1, 0.0))
 
+    def unload(self, name, hosts):
+        """Idle copies of a version may go; nobody waits for an answer."""
+        for one in hosts:
+            host = self.hosts.get(one)
+            link = next((ln for ln in host.links if ln.state == OPEN), None) if host else None
+            if link is not None:
+                self.numbers += 1
+                link.write(m.Drop(self.numbers, name))
+
     # ---- leaving
     def drain(self, reason):
         """Takes nothing new from now on; what is open is answered. Clients are told once."""
--- a/cherrydoor/gateway/links.py
+++ b/cherrydoor/gateway/links.py
@@ -13,21 +13,22 @@
 class Links:
     """What the desk does with hosts; the tables are the desk's."""
 
-    answer: Any
-    forget: Any
     gate: Any
     terms: Any
-    dial: Any
-    ended: Any
-    give_up: Any
-    versions: Any
-    hosts: dict
     notes: Any
     counts: Any
-    alarm: Any
+    hosts: dict
     now: float
     numbers: int
+    versions: Any
     custody: Any
+    site: Any
+    answer: Any         # from here on what the desk and its other parts do
+    forget: Any
+    dial: Any
+    ended: Any
+    alarm: Any
+    give_up: Any
     came_to_nothing: Any
 
     def ask(self, name, kind, function, wait, message, *values):
@@ -167,7 +168,9 @@
             self.notes.append(io.Probed(name, fate, took))
         elif sent.kind is io.Loaded:
             self.notes.append(io.Loaded(sent.function, name, fate, message.copies if message else 0, took))
-            self.ended(v.Loaded(sent.function, fate, took, name))
+            self.ended(v.Loaded(sent.function, fate, took))
+            if self.site is not None:
+                self.site.loaded(sent.function, name, fate == io.HANDLED)
         else:
             self.landed(sent, fate, took, name, message)
 
@@ -239,13 +242,3 @@
     def rows(self):
         """The list as last held, for the next start."""
         return [h.row for h in self.hosts.values() if h.row.state != "gone"]
-
-    # ---- releases
-    def unload(self, name, hosts):
-        """Idle copies of a version may go; nobody waits for an answer."""
-        for one in hosts:
-            host = self.hosts.get(one)
-            link = next((ln for ln in host.links if ln.state == OPEN), None) if host else None
-            if link is not None:
-                self.numbers += 1
-                link.write(m.Drop(self.numbers, name))
--- a/cherrydoor/gateway/shell.py
+++ b/cherrydoor/gateway/shell.py
@@ -17,7 +17,6 @@
 from cherrydoor.gateway.turn import Clock, Turn, address
 from cherrydoor.keys.decide import Usage
 from cherrydoor.keys.keeper import Keeper, Where
-from cherrydoor.versions.decide import Loaded
 from cherrydoor.versions.feed import Releases
 
 log = structlog.get_logger()
@@ -49,17 +48,10 @@
         self.desk = self.new_desk()
 
     def new_desk(self):
-        more = (self.releases and self.releases.versions, self.ended)
+        more = (self.releases.versions, self.releases.post) if self.releases else (None, None)
         return Desk(self.make_gate(self.figures.lease), self.figures.terms, self.floor.dial, self.clock.now(),
                     self.roll.hear, *more)
 
-    def ended(self, note):
-        """A launch or an order to load has ended."""
-        if self.releases:
-            self.releases.post(note)
-        if self.fellows and type(note) is Loaded:
-            self.fellows.sites.loaded(note.name, note.host, note.fate == io.HANDLED)
-
     def hello(self):
         return m.Hello(m.VERSION, "gateway", self.figures.name, self.clock.now(), 0.0, self.bounds.frame,
                        self.figures.terms.most_open, life=self.fellows.life if self.fellows else 0)
--- a/cherrydoor/site/shell.py
+++ b/cherrydoor/site/shell.py
@@ -4,8 +4,9 @@
 from msgspec import structs
 
 from cherrydoor.frames import site as f
-from cherrydoor.site import decide as d
-from cherrydoor.site.plan import REST, Lot, plan, room_of
+from cherrydoor.site import follow as d
+from cherrydoor.site.conducting import Conducting
+from cherrydoor.site.plan import REST
 
 log = structlog.get_logger()
 LOOK = 0.25             # s between reports of one who follows, and looks of the conductor
@@ -14,7 +15,7 @@
 KNOWN = 4000            # functions of which event types are remembered
 
 
-class Sites:
+class Sites(Conducting):
     """The desk's port: defers, away, answered. Words of operators come through order()."""
 
     def __init__(self, peers, tenures):
@@ -146,82 +147,6 @@
             elif conductor is not None and number == conductor.number:
                 self.carry_out(site, conductor.tick(now))
 
-    # ---- conducting
-    def want(self, site):
-        self.wanted[site] = None
-        self.tenures.hold(f"site/{site}", lambda number: self.began(site, number), lambda number: self.ended(site))
-
-    def began(self, site, number):
-        """Listens first: a word that the drain goes on under a new number has all gateways report here."""
-        self.wanted[site] = self.now()
-        last = self.follower.drains.get(site)
-        wave = f.Wave(site, number, last.wave if last else 0, self.me, last.state if last else "moving",
-                      last.away if last else [], last.shed if last else [], last.copies if last else [],
-                      f"{self.me} conducts")
-        self.told("", wave)
-
-    def ended(self, site):
-        self.conductors.pop(site, None)
-        if site in self.wanted:
-            self.wanted[site] = None
-
-    def lots(self, site):
-        """What all gateways told, as one: (lots, zones)."""
-        sums: dict = {}
-        zones: dict = {}
-        for _, report in self.heard.get(site, {}).values():
-            for one in report.lots:
-                was = sums.get(one.function)
-                sums[one.function] = Lot(
-                    one.function, one.rate + (was.rate if was else 0.0), max(one.benefit, was.benefit if was else 0.0),
-                    max(one.kind, was.kind if was else one.kind, key=("redeliverable", "keyed", "at-most-once").index),
-                    tuple(dict.fromkeys([*(was.hosts if was else ()), *one.hosts])), max(
-                        one.memory, was.memory if was else 0.0))
-            for one in report.zones:
-                zones.setdefault(one.site, []).append((one.rate, one.busy))
-        means = {site: (sum(rate for rate, _ in told), mean([busy for _, busy in told if busy is not None]))
-                 for site, told in zones.items()}
-        return list(sums.values()), means
-
-    def planned(self, site):
-        lots, zones = self.lots(site)
-        room = room_of(zones, site)
-        return plan(lots, 1e9 if room is None else room), lots, zones
-
-    def conduct(self, site, number):
-        """The plan by what has been heard, from the wave that was reached."""
-        made, lots, _ = self.planned(site)
-        last = self.follower.drains[site]
-        copies = [(lot.function, host) for lot in lots for host in lot.hosts if lot.function != REST]
-        one = d.Conductor(site, number, self.me, made, self.peers.members.living, self.now(), last, copies)
-        self.conductors[site] = one
-        log.info("this gateway conducts a site's drain", gateway=self.me, site=site, number=number,
-                 wave=one.wave, waves=len(made.waves), asked=round(made.asked, 1), room=round(made.room, 1))
-        self.carry_out(site, one.start(self.now()))
-
-    def carry_out(self, site, actions):
-        conductor = self.conductors.get(site)
-        for action in actions:
-            if conductor is None or self.tenures.number(f"site/{site}") != conductor.number:
-                return
-            if isinstance(action, d.Open):
-                self.shell.post(self.shell.desk.foreseen, action.function, site)
-            else:
-                self.told("", action.wave)
-                if action.wave.state == "over":
-                    self.loop.call_later(2.0, self.let_go, site)
-
-    def let_go(self, site):
-        self.wanted.pop(site, None)
-        self.conductors.pop(site, None)
-        self.tenures.release(f"site/{site}")
-
-    def loaded(self, function, host, good):
-        """An order of this gateway has ended."""
-        for site, conductor in list(self.conductors.items()):
-            if good and function in conductor.opening:
-                self.carry_out(site, conductor.stands(self.now(), function, host))
-
     # ---- operators
     def order(self, said):
         """A command: drain, plan (a dry run), show, hold, resume, undo."""
@@ -285,7 +210,3 @@
             said["away"] = [[a.function or "(rest)", round(a.share, 3)] for a in held.away]
             said["copies"] = len(held.copies)
         return {"site": site, **said, **({"conductor here": conductor.table()} if conductor else {})}
-
-
-def mean(told):
-    return sum(told) / len(told) if told else None
--- a/cherrydoor/versions/decide.py
+++ b/cherrydoor/versions/decide.py
@@ -96,7 +96,6 @@
     name: str
     fate: str
     took: float
-    host: str = ""
 
 
 @dataclass(slots=True)
--- a/tests/site/test_drained_in_order.py
+++ b/tests/site/test_drained_in_order.py
@@ -24,7 +24,7 @@
         while True:
             turn += 1
             document = turn % DOCUMENTS
-            gate = self.gates[turn % len(self.gates)]
+            gate = self.gates[(turn + turn // DOCUMENTS) % len(self.gates)]     # each calls every function in time
             if gate.process.returncode is None and not self.town.caller.ends[gate.name].transport.is_closing():
                 number = self.town.caller.send(gate, "draft", function=f"deed-{document % FUNCTIONS}",
                                                document=f"doc-{document}")
--- a/tests/site/test_waves.py
+++ b/tests/site/test_waves.py
@@ -6,6 +6,7 @@
 
 from cherrydoor.frames.site import Away, Followed, Wave
 from cherrydoor.site import decide as d
+from cherrydoor.site import follow
 from cherrydoor.site.plan import REST, Lot, gathered, plan, room_of, served
 
 LOTS = [Lot("gold", 10.0, 5.0, hosts=("h1",)), Lot("iron", 20.0, 1.0), Lot("lead", 10.0, 0.5, hosts=("h2",))]
@@ -62,7 +63,7 @@
 
 
 def test_a_wave_under_an_old_number_or_an_older_one_undoes_nothing():
-    follower = d.Follower()
+    follower = follow.Follower()
     assert follower.hear(0.0, wave(2, 3, f=0.5)) and follower.hear(1.0, wave(3, 3, f=0.5))
     for old in (wave(3, 3), wave(2, 9), wave(3, 2)):
         assert not follower.hear(2.0, old)
@@ -70,7 +71,7 @@
 
 
 def test_shares_are_nested_who_is_away_stays_away_and_others_agree():
-    one, other = d.Follower(), d.Follower()
+    one, other = follow.Follower(), follow.Follower()
     sessions = [f"doc{i}" for i in range(400)]
     before: set = set()
     for number, share in enumerate((0.1, 0.4, 0.8), 1):
@@ -84,7 +85,7 @@
 
 
 def test_what_is_shed_is_deferred_at_the_end_and_not_before():
-    follower = d.Follower()
+    follower = follow.Follower()
     follower.hear(0.0, wave(1, 1, shed=["lead"], gold=1.0))
     assert away(follower, "gold").away == "s" and not away(follower, "lead").defer
     follower.hear(0.0, wave(1, 2, "empty", ["lead"], gold=1.0))
@@ -93,7 +94,7 @@
 
 
 def test_a_keyed_event_does_not_move_while_a_part_of_the_hosts_remembers_its_mark():
-    follower = d.Follower()
+    follower = follow.Follower()
     follower.hear(1000.0, wave(1, 1, f=1.0))
     assert "marks" in away(follower, kind="keyed", memory=5000.0, now=5900.0).defer
     assert not away(follower, kind="keyed", memory=5000.0, now=6100.0).defer
@@ -101,7 +102,7 @@
 
 
 def test_a_session_is_a_document_else_a_party_and_function():
-    assert d.session("doc", "p", "f") == d.session("doc", "q", "g") != d.session("", "p", "f")
+    assert follow.session("doc", "p", "f") == follow.session("doc", "q", "g") != follow.session("", "p", "f")
 
 
 # ---- the conductor
--- /dev/null
+++ b/tests/test_told.py
@@ -0,0 +1,132 @@
+"""What a gateway goes by where answers tell little, hosts are deaf or cold, and at its start."""
+
+from fake import Fleet, kinds
+
+from cherrydoor import interface as io
+
+
+def untold(fleet, host, function, took=50.0, held=None, fate=io.HANDLED, later=10.0):
+    """An event whose answer tells neither copy nor crowd."""
+    event, _ = fleet.event(function, later=later)
+    fleet.take(io.Outcome(event, 0, fate, fate == io.HANDLED, fleet.sent[event][0], took, None, None, held), later)
+    return fleet.sent[event][0]
+
+
+def test_where_no_crowd_is_told_own_calls_group_the_gateways():
+    places = set()
+    for me in range(12):
+        fleet = Fleet("abcdefgh", me=me, gateways=12)
+        for _ in range(80):
+            untold(fleet, None, "deed", took=300.0, later=20.0)
+        places.add(fleet.gate.history.functions["deed"].second())
+    assert len(places) > 4
+
+
+def test_where_no_copy_is_told_a_load_does_not_pass_for_a_slow_host():
+    fleet = Fleet()
+    home = fleet.gate.hosts[untold(fleet, None, "deed", took=2000.0)]
+    assert home.mean() < 200
+    untold(fleet, None, "deed", took=400.0)
+    assert home.mean() > 125
+
+
+def test_what_a_host_was_told_to_hold_makes_it_shed():
+    fleet = Fleet(gateways=40)
+    for _ in range(30):
+        home = untold(fleet, None, "deed", took=60.0, held=0.0)
+    host = fleet.gate.hosts[home]
+    assert not host.busy()
+    untold(fleet, None, "deed", took=60.0, held=20.0)
+    assert host.busy() and host.wait(fleet.gate.history.functions["deed"]) > 375
+    fleet.now += 20000
+    fleet.list()
+    assert not host.busy()
+
+
+def test_where_no_report_is_told_the_crowd_tells_the_time_of_one():
+    fleet = Fleet(gateways=40)
+    for _ in range(30):
+        home = fleet.gate.hosts[fleet.handle("deed")]
+    assert not home.busy()
+    fleet.crowd = 16
+    fleet.handle("deed")
+    assert home.busy() and home.wait(fleet.gate.history.functions["deed"]) > 375
+    loads = Fleet(gateways=40)
+    for _ in range(3):
+        loads.handle("deed", copy=2)    # the time of a load is none of the work's
+    assert loads.gate.each == 0.0
+    few = Fleet("abcdef", gateways=3)   # own events out are a third of all: they tell
+    few.handle("deed")
+    assert few.gate.each == 0.0
+
+
+def test_a_host_deaf_to_one_event_type_goes_on_serving_the_other():
+    book = io.Clause("book", 500.0, 5000.0, io.KEYED, "cell", 6000.0)
+    fleet = Fleet(clauses=(io.Clause("redraft", 500.0, 5000.0), book))
+    home = fleet.handle("deed")
+    rare = next(f for f in (f"f{i}" for i in range(50)) if fleet.handle(f) == home)
+    fleet.events += 1
+    lost = fleet.events
+    fleet.take(io.Arrival(lost, "book", "", "deed", fleet.now + 5000.0, 4.0, 0.0))
+    assert fleet.sent[lost] == [home]
+    for _ in range(25):
+        fleet.handle("deed", later=50.0)
+        fleet.take(io.Wake("sweep"))
+    fleet.answer(lost, io.NO_ANSWER, over=True)
+    fleet.take(io.Probed(home, io.HANDLED, 1.0))
+    fleet.events += 1
+    fleet.take(io.Arrival(fleet.events, "book", "", rare, fleet.now + 5000.0, 4.0, 0.0))
+    assert fleet.sent[fleet.events] != [home] and fleet.handle(rare) == home
+    deaf = [fleet.gate.hosts[home].deaf(clause, fleet.now) for clause in fleet.gate.deed.clauses.values()]
+    assert deaf == [False, True]
+
+
+def test_what_a_cold_host_cannot_bear_is_spread_over_all_others():
+    fleet = Fleet("abcdefgh")
+    at = {f"f{i}": fleet.handle(f"f{i}") for i in range(200)}
+    cold = at["f0"]
+    fleet.list(**{cold: {"since": fleet.now}})
+    fleet.rest(1000)
+    heirs = {fleet.handle(f) for f, host in at.items() if host == cold}
+    assert len(heirs - {cold}) > 3
+
+
+def test_a_full_answer_is_the_queues_where_a_queue_is_reported_and_memorys_where_it_is_tied():
+    for crowd, queue, tied, memory in ((0, 9.0, None, False), (0, None, None, True), (None, None, 0.3, False),
+                                       (None, None, 0.97, True)):
+        fleet = Fleet()
+        event, _ = fleet.event("deed")
+        home = fleet.gate.hosts[fleet.sent[event][0]]
+        fleet.take(io.Outcome(event, 0, io.FULL, False, home.id, 1.0, None, crowd, 10.0, queue, tied))
+        assert (not home.roomy()) == memory, (crowd, queue, tied)
+
+
+def test_a_cold_fleet_bears_what_its_running_hosts_do_and_not_the_mean_of_all():
+    def budget(**cold):
+        fleet = Fleet("abcdefgh", gateways=200)     # so that the floor, a part of one event, is below
+        for i in range(200):
+            fleet.handle(f"f{i % 20}", later=5.0)
+        fleet.list(**{host: {"since": fleet.now} for host in cold})
+        fleet.take(io.Wake("sweep"))
+        return fleet.gate.borne()
+
+    assert budget(a=1, b=1, c=1, d=1) > 1.3 * budget()
+
+
+def test_a_gateway_that_stood_still_does_not_take_it_for_the_hosts_silence():
+    fleet = Fleet()
+    fleet.handle("deed")
+    fleet.take(io.Wake("sweep"), 100.0)
+    fleet.event("deed")
+    assert io.Probe not in kinds(fleet.take(io.Wake("sweep"), 2000.0))
+    assert io.Probe in kinds(fleet.rest(300.0)), "silence that goes on is the host's"
+
+
+def test_the_first_window_is_counted_from_the_start_and_not_from_1970():
+    """On real clocks the first halving had a span of fifty years: own calls told nothing until the second."""
+    fleet = Fleet("ab")
+    fleet.gate.start(fleet.now)
+    for _ in range(100):
+        fleet.event(later=20.0)
+    fleet.rest(300.0)
+    assert 1900.0 <= fleet.gate.history.span < 4000.0
