Peers are believed by their certificates; a drain may be given a time

Need: where a lease states keys the door for peers spoke TLS while dials did not, so sealed peers could not meet, and any name in a hello was believed. Cause: the dial took the context for hosts, which is there with keys.hosts alone. Change: a context of its own for peers, with the gateway's certificate, and a peer is believed under the name that its certificate bears. A time in which not one wave fits is refused. Stories: three sealed gateways, one of which shows another's certificate; a hasty plan and one that is too short.

--- a/cherrydoor/cli/fellows.py
+++ b/cherrydoor/cli/fellows.py
@@ -112,8 +112,8 @@
     @CONTROL
     @JSON
     @click.argument("site")
-    def act(control, as_json, site, dry_run=False, even=False):
-        said = spoken(control, do="site", what="plan" if dry_run else name, site=site, even=even)
+    def act(control, as_json, site, dry_run=False, even=False, within=0.0):
+        said = spoken(control, do="site", what="plan" if dry_run else name, site=site, even=even, within=within)
         if as_json:
             return print(json.dumps(said, indent=1))
         if dry_run:
@@ -127,6 +127,7 @@
     act.__doc__ = about
     if name == "drain":
         act = click.option("--dry-run", is_flag=True, help="Show waves, copies and room; change nothing.")(act)
+        act = click.option("--within", type=float, default=0.0, help="S in which it is to be over: larger waves.")(act)
         act = click.option("--even", is_flag=True, help="Also where neighbours have no room for all: the lowest are "
                                                         "deferred.")(act)
     site.command(name)(act)
--- a/cherrydoor/frames/site.py
+++ b/cherrydoor/frames/site.py
@@ -33,6 +33,7 @@
     shed: list[Name] = []
     copies: list[Copy] = []
     why: Text = ""
+    step: Share = 0.25          # of the site's traffic that a wave moves at most
 
 
 class LotTold(Struct, omit_defaults=True, gc=False):
--- a/cherrydoor/keys/keeper.py
+++ b/cherrydoor/keys/keeper.py
@@ -43,7 +43,7 @@
     def __init__(self, where, put_out, wall=lambda: time.time() * 1000):
         self.where, self.put_out, self.wall = where, put_out, wall
         self.ring, self.material, self.seen, self.timer = d.Ring(where.usage), {}, None, None
-        self.server = self.client = None
+        self.server = self.client = self.peer = None
         self.trusted, self.token_keys = (), {}
         self.chain = b"", b""        # certificates and key in service
 
@@ -134,6 +134,7 @@
         if part in ("pair", "authorities") and self.ring.serving("pair") is not None:
             ask = {"ask": ssl.CERT_OPTIONAL, "need": ssl.CERT_REQUIRED, "none": ssl.CERT_NONE}[where.clients]
             self.server = files.context(True, *self.chain, self.trusted, ask)
+            self.peer = files.context(False, *self.chain, self.trusted)
         if part in ("pair", "authorities") and where.hosts:
             self.client = files.context(False, *self.chain, self.trusted)
 
--- a/cherrydoor/peers/shell.py
+++ b/cherrydoor/peers/shell.py
@@ -9,6 +9,7 @@
 from cherrydoor.frames import messages as m
 from cherrydoor.frames import peers as p
 from cherrydoor.frames.site import SITE
+from cherrydoor.keys.keeper import NotProved
 from cherrydoor.peers.decide import Me, Members
 from cherrydoor.peers.links import Close, Dial, Links
 
@@ -150,7 +151,7 @@
         try:
             async with asyncio.timeout(CONNECT):
                 _, end = await self.loop.create_connection(lambda: PeerEnd(self, action.name), *address(action.at),
-                                                           ssl=self.shell.keeper.client)
+                                                           ssl=self.shell.keeper.peer)
             self.loop.call_later(CONNECT, self.no_hello, end)
             return
         except ConnectionRefusedError:
@@ -168,6 +169,8 @@
             return end.close(f"a peer is expected here, not a {hello.role}")
         if end.dialled and hello.name != end.dialled:
             return end.close(f"{end.dialled} is expected here, not {hello.name}")
+        if self.shell.keeper.sealed and not self.proved(end, hello):
+            return end.close("its certificate is not of that name")
         if hello.name == self.me.name:
             self.members.doubled = hello.life == self.me.life or self.members.doubled
             return end.close("this is the gateway of that name")
@@ -184,6 +187,13 @@
         for tell in self.linked:
             tell(hello.name)
 
+    def proved(self, end, hello):
+        """Whether the peer's certificate, of authorities that are believed here, bears the name that it says."""
+        try:
+            return self.shell.keeper.identify(end.transport, "")[0] == hello.name
+        except NotProved:
+            return False
+
     def heard(self, end, message):
         if not end.stands or self.closed:
             return
--- a/cherrydoor/site/conducting.py
+++ b/cherrydoor/site/conducting.py
@@ -6,7 +6,7 @@
 
 from cherrydoor.frames import site as f
 from cherrydoor.site import decide as d
-from cherrydoor.site.plan import REST, Lot, plan, room_of
+from cherrydoor.site.plan import REST, STEP, Lot, plan, room_of
 
 log = structlog.get_logger()
 
@@ -27,11 +27,12 @@
     follower: Any
     told: Any
     wanted: dict
+    steps: dict
     conductors: dict
     heard: dict
 
-    def want(self, site):
-        self.wanted[site] = None
+    def want(self, site, step=STEP):
+        self.wanted[site], self.steps[site] = None, step
         self.tenures.hold(f"site/{site}", lambda number: self.began(site, number), lambda number: self.ended(site))
 
     def began(self, site, number):
@@ -40,7 +41,7 @@
         last = self.follower.drains.get(site)
         wave = f.Wave(site, number, last.wave if last else 0, self.me, last.state if last else "moving",
                       last.away if last else [], last.shed if last else [], last.copies if last else [],
-                      f"{self.me} conducts")
+                      f"{self.me} conducts", last.step if last else self.steps.get(site, STEP))
         self.told("", wave)
 
     def ended(self, site):
@@ -66,15 +67,15 @@
                  for site, told in zones.items()}
         return list(sums.values()), means
 
-    def planned(self, site):
+    def planned(self, site, step):
         lots, zones = self.lots(site)
         room = room_of(zones, site)
-        return plan(lots, 1e9 if room is None else room), lots, zones
+        return plan(lots, 1e9 if room is None else room, step), lots, zones
 
     def conduct(self, site, number):
         """The plan by what has been heard, from the wave that was reached."""
-        made, lots, _ = self.planned(site)
         last = self.follower.drains[site]
+        made, lots, _ = self.planned(site, last.step)
         copies = [(lot.function, host) for lot in lots for host in lot.hosts if lot.function != REST]
         one = d.Conductor(site, number, self.me, made, self.peers.members.living, self.now(), last, copies)
         self.conductors[site] = one
--- a/cherrydoor/site/decide.py
+++ b/cherrydoor/site/decide.py
@@ -10,7 +10,7 @@
 from msgspec import Struct
 
 from cherrydoor.frames.site import Away, Copy, Wave
-from cherrydoor.site.plan import Plan
+from cherrydoor.site.plan import STEP, Plan
 
 CONFIRM = 5000.0        # ms after which a gateway that has not confirmed a wave is a straggler, and not waited for
 SETTLE = 1500.0         # ms for which a wave is watched before the next
@@ -49,7 +49,7 @@
         self.reports, self.copies, self.opening, self.tried = {}, [Copy(*one) for one in copies], {}, Counter()
         self.good: list = []            # (when, good, taken) of reports since the wave
         self.before, self.since, self.fell, self.back = None, now, None, 0
-        self.undone = last is not None and last.state == "undoing"
+        self.undone, self.step = last is not None and last.state == "undoing", last.step if last else STEP
         self.first = last is None
         while self.at < len(plan.waves) and all(
                 self.shares.get(s.function, 0.0) >= s.share for s in plan.waves[self.at]):
@@ -112,7 +112,8 @@
     def say(self, state):
         shed = self.plan.shed if state == "empty" else []
         away = [Away(name, share) for name, share in self.shares.items() if share > 0]
-        return Say(Wave(self.site, self.number, self.wave, self.me, state, away, shed, self.copies, self.why))
+        return Say(Wave(self.site, self.number, self.wave, self.me, state, away, shed, self.copies, self.why,
+                        self.step))
 
     def tick(self, now):
         if self.state == "copies":
--- a/cherrydoor/site/plan.py
+++ b/cherrydoor/site/plan.py
@@ -99,6 +99,17 @@
     return Plan(waves, shed, room, asked)
 
 
+def step_within(span, wave):
+    """The share that a wave has to move for the drain to be over in `span` ms, where a wave takes `wave` ms; None where
+    not even one fits. It is STEP unless time is short.
+
+    >>> step_within(60000.0, 2000.0), step_within(4000.0, 2000.0), step_within(1000.0, 2000.0)
+    (0.25, 0.5, None)
+    """
+    waves = int(span // wave)
+    return max(STEP, 1.0 / waves) if waves else None
+
+
 def served(chosen, lots):
     """Benefit a second of the lots that find room: what an order of priority is measured by.
 
--- a/cherrydoor/site/shell.py
+++ b/cherrydoor/site/shell.py
@@ -6,11 +6,12 @@
 from cherrydoor.frames import site as f
 from cherrydoor.site import follow as d
 from cherrydoor.site.conducting import Conducting
-from cherrydoor.site.plan import REST
+from cherrydoor.site.plan import REST, step_within
 
 log = structlog.get_logger()
 LOOK = 0.25             # s between reports of one who follows, and looks of the conductor
 GATHER = 1500.0         # ms for which a new conductor listens before it plans
+WAVE = 2000.0           # ms that a wave takes where nothing holds it up: announced, confirmed, watched
 NAMED = 60              # functions that a report names; the rest as one
 KNOWN = 4000            # functions of which event types are remembered
 
@@ -25,6 +26,7 @@
         self.kinds = {c.name: c for c in lease.clauses}
         self.benefits = self.shell.figures.benefits
         self.conductors, self.wanted, self.heard, self.seen, self.timer = {}, {}, {}, {}, None
+        self.steps = {}             # site -> share of a wave, as its operator's time wants it; with `wanted`
         self.taken = self.good = 0
         peers.linked.append(self.linked)
         for kind, what in ((f.Wave, self.told), (f.Followed, self.followed), (f.Drain, self.ordered)):
@@ -159,7 +161,7 @@
         if do == "show":
             return self.table(site)
         if do == "plan":
-            return self.dry(site)
+            return self.dry(site, step_within(1000.0 * float(said.get("within") or 3600.0) - GATHER, WAVE) or 1.0)
         if do == "drain":
             if on:
                 return {"error": f"{site} is drained already, by {held.conductor}: wave {held.wave}, {held.state}"}
@@ -168,14 +170,17 @@
                 return {"error": f"{other} is being drained: one site at a time"}
             if len(sites) < 2:
                 return {"error": f"{site} has no neighbour"}
-            made = self.dry(site)
+            step = step_within(1000.0 * float(said.get("within") or 3600.0) - GATHER, WAVE)
+            if step is None:
+                return {"error": f"a drain takes {(GATHER + WAVE) / 1000:g} s at the least: to listen, and a wave"}
+            made = self.dry(site, step)
             if made["missing"] > 0 and not said.get("even"):
                 return {"error": f"neighbours have room for {made['room']} of {made['asked']} events a second: "
                                  f"{made['missing']} are missing"}
             if held is not None:
                 self.follower.drains.pop(site)
                 self.follower.since.pop(site, None)
-            self.want(site)
+            self.want(site, step)
             return self.table(site)
         if not on:
             return {"error": f"{site} is not being drained"}
@@ -190,11 +195,11 @@
         if conductor is not None:
             self.carry_out(message.site, conductor.operator(self.now(), message.do))
 
-    def dry(self, site):
+    def dry(self, site, step):
         """What would be done, by what this gateway knows alone, or as conductor by what all have told."""
         if site not in self.heard:
             self.heard[site] = {self.me: (self.now(), self.report(site, 0, 0))}
-        made, lots, zones = self.planned(site)
+        made, lots, zones = self.planned(site, step)
         by = {lot.function: lot for lot in lots}
         return {"site": site, "asked": round(made.asked, 1), "room": round(made.room, 1), "shed": made.shed,
                 "missing": round(made.missing, 1), "told by": sorted(self.heard[site]),
--- a/tests/peers/test_who_is_there.py
+++ b/tests/peers/test_who_is_there.py
@@ -78,3 +78,32 @@
         fleet.gates.append(clone)
         await clone.start()
         await until(lambda: asyncio.sleep(0, gates[3].logged("another process")), bool)
+
+
+@story
+async def test_peers_are_believed_by_their_certificates_and_under_that_name_alone(tmp_path):
+    from cherrydoor.keys.make import Folder
+    keys = Folder(tmp_path / "keys")
+    keys.authority()
+    for name in ("g0", "g1", "g2"):
+        keys.issue("gateway", name, addresses=["127.0.0.1"])
+    fleet = Fleet(tmp_path, 3)
+    for gate in fleet.gates:
+        shown = "g1" if gate.name == "g2" else gate.name        # g2 shows another's certificate
+        gate.more = {"keys": {"certificate": str(keys.path / f"{shown}.pem"), "key": str(keys.path / f"{shown}.key"),
+                              "authorities": str(keys.path / "authorities.pem")}}
+        gate.at = gate.real                                     # a relay cannot read what is sealed
+    await asyncio.gather(*(gate.start() for gate in fleet.gates))
+    try:
+        first, second, wrong = fleet.gates
+
+        def linked(gate):
+            async def ask():
+                said = await gate.ask(do="peers")
+                return {row["name"] for row in said["members"] if row["linked"]} if said else set()
+            return ask
+        await until(linked(first), lambda seen: seen == {"g1"})
+        await until(linked(second), lambda seen: seen == {"g0"})
+        assert await linked(wrong)() == set()
+    finally:
+        await fleet.__aexit__()
--- a/tests/site/test_drained_in_order.py
+++ b/tests/site/test_drained_in_order.py
@@ -80,6 +80,10 @@
             await come(lambda: {host for _, host in launches(here, before)} & at_site(here))
             said = await here.gates[4].ask(do="site", what="plan", site=SITE)
             assert said["waves"] and said["missing"] == 0 and said["told by"]
+            hasty = await here.gates[4].ask(do="site", what="plan", site=SITE, within=4.0)
+            assert len(hasty["waves"]) <= len(said["waves"])
+            short = await here.gates[4].ask(do="site", what="drain", site=SITE, within=3.0)
+            assert "3.5 s at the least" in short["error"]
             assert "error" not in await here.gates[4].ask(do="site", what="drain", site=SITE)
             assert "already" in (await here.gates[4].ask(do="site", what="drain", site=SITE)).get("error", "already")
             conductor = await state(here, here.gates, "empty")
