--- a/tests/custody/fleet_and_hosts.py
+++ b/tests/custody/fleet_and_hosts.py
@@ -111,6 +111,12 @@
                     and len(said["witnesses"]) == 2)
         return await gate.ask(do="custody")
 
+    def hold(self, on=True):
+        """Work at hosts stands, whatever time passes, or goes on; they go on speaking."""
+        for host in self.hosts:
+            host.slow = 1e9 if on else 1.0
+            host.kick()
+
     async def at_work(self, event):
         await come(lambda: self.rows.of("launch", event))
         await come(lambda: any(job.launch.event == event and job.serial is not None
--- a/tests/custody/test_taken_over_once.py
+++ b/tests/custody/test_taken_over_once.py
@@ -20,9 +20,12 @@
         numbers = [town.caller.send(giver, clause) for clause in ("file", "sign", "draft")]
         for number in numbers:
             await town.at_work(number)
+        town.hold()
         await town.entrusted(giver)
         await giver.kill()
         claims = [town.caller.claim(other, giver, number) for number in numbers]
+        await come(lambda: len(town.rows.of("adopt")) == 3)
+        town.hold(False)
         for number, claim in zip(numbers, claims, strict=True):
             said = await town.caller.answer(claim)
             assert said.fate == "handled" and said.body == b"xxxx", said
@@ -69,17 +72,20 @@
 
 @story
 async def test_a_second_heir_starts_from_the_hosts_word_under_a_higher_number(tmp_path):
-    async with Town(tmp_path, gates=6, work=2500.0) as town:
+    async with Town(tmp_path, gates=6) as town:
         giver = town.gates[5]
-        number = town.caller.send(giver, "file", lasts=8000.0)
+        number = town.caller.send(giver, "file", lasts=30000.0)
         await town.at_work(number)
+        town.hold()
         await town.entrusted(giver)
         await giver.kill()
         await come(lambda: town.rows.of("adopt", number))
         first = next(gate for gate in town.gates if gate.name == town.rows.of("adopt", number)[0]["peer"])
         await first.kill()
+        await come(lambda: len(town.rows.of("adopt", number)) == 2)
+        town.hold(False)
         other = next(gate for gate in town.gates if gate not in (giver, first))
-        said = await town.caller.answer(town.caller.claim(other, giver, number, lasts=8000.0))
+        said = await town.caller.answer(town.caller.claim(other, giver, number, lasts=30000.0))
         assert said.fate == "handled" and ran(town, number) == 1
         told = [row["number"] for row in town.rows.of("over")
                 if row["who"] == town.hosts[0].id and row["text"] == giver.name]
@@ -120,17 +126,21 @@
 
 @story
 async def test_a_plain_repeat_of_what_is_being_taken_over_waits_for_that_one(tmp_path):
-    async with Town(tmp_path, work=1200.0) as town:
+    async with Town(tmp_path) as town:
         giver, other = town.gates[3], town.gates[4]
-        number = town.caller.send(giver, "file", mark="contract")
+        number = town.caller.send(giver, "file", lasts=30000.0, mark="contract")
         await town.at_work(number)
+        town.hold()
         await town.entrusted(giver)
         await giver.kill()
         await come(lambda: town.rows.of("adopt", number))
         for gate in town.gates[:3]:
             await until(lambda gate=gate: gate.ask(do="peers"), lambda said: any(
                 row["name"] == giver.name and row["state"] == "over" for row in said["members"]))
-        repeat = town.caller.send(other, "file", mark="contract")
+        repeat = town.caller.send(other, "file", lasts=30000.0, mark="contract")
+        await until(lambda: other.ask(do="custody"),
+                    lambda said: said["claims"]["waiting"] or said["claims"].get("claimed"))
+        town.hold(False)
         said = await town.caller.answer(repeat)
         assert said.fate == "handled" and not town.rows.of("launch", repeat) and ran(town, number) == 1
 
