A site is empty by its hosts' own count; a drain waits for lost neighbours and ends once

Seen, as drains were played in virtual time for the first time (the emulator left them out): * A drain that was undone began again by itself. Keepers stand in line for site/SITE while it goes on; when its conductor handed over at the end, the next one took the wave "over" for one to go on from (site/conducting.py, began). Sessions moved a second time with nobody asking. The log has 'a task is held' after 'state=over', then wave 11 'moving'. * The next conductor of a site that was empty began with 'moving' again where new functions had come, so that for some seconds sessions were steered to a site that operators had been told was empty (decide.py, __init__). * A wave stood for 16 s for a copy that stood already: nobody orders what calls had loaded, so no order ended. * Where versions are released, waves named versions and events functions: shares matched nothing but the rest.

Now: a drain that is over is begun by an operator alone; who conducts next never goes back from empty; copies are known by what all gateways tell; versions go by their function, and loads ahead are ordered where sessions have moved.

A quarter of the neighbours' hosts missing holds every wave, and the site takes back, lowest first, what those that are left cannot bear. What nothing loads is put off to the last wave; there the drain stands after 30 s until an operator resumes it without. Missing room refuses a drain also by what all gateways told. Reports come less often in large fleets.

--- a/cherrydoor/emulator/play.py
+++ b/cherrydoor/emulator/play.py
@@ -25,8 +25,8 @@
 from cherrydoor.standin.roll import Roll
 from cherrydoor.standin.store import Store
 
-# they are of sockets, descriptors and TLS, or of fellows behind a relay
-LEFT_OUT = ("flood", "reconnect", "key-change", "cut-off", "noise", "site-drain", "conductor-crash")
+# they are of sockets, descriptors and TLS, or of a relay between fellows
+LEFT_OUT = ("flood", "reconnect", "key-change", "cut-off", "noise")
 
 
 class Spoken:
@@ -141,6 +141,13 @@
             self.doors[number], self.gateways[number] = door, (Spoken(f"g{number}", None), group)
             self.record.add("gateway up", f"g{number}")
 
+    async def ask(self, said):
+        """As an operator's socket answers, by the first gateway that runs."""
+        for _, shell in sorted(self.shells.items()):
+            if not shell.dead and not shell.stands and shell.fellows:
+                return shell.fellows.obey(said)
+        return None
+
     async def do_kill_gateway(self, gateway):
         for one in self.gateways[gateway][1]:
             if not self.shells[one].dead:
--- a/cherrydoor/frames/custody.py
+++ b/cherrydoor/frames/custody.py
@@ -8,7 +8,8 @@
 from msgspec import Meta, Struct
 
 from cherrydoor.frames import messages
-from cherrydoor.frames.basics import Count, Id, Message, Name
+from cherrydoor.frames.basics import Count as Whole
+from cherrydoor.frames.basics import Id, Message, Name
 
 LIFE_OVER = "that life is over"     # a host's word, in a fault, to a gateway whose estate has been taken over
 
@@ -46,7 +47,7 @@
     job: Id                     # the host's own number for it
     client: Name
     event: Id
-    number: Count = 0
+    number: Whole = 0
     fate: Literal["", "handled", "error", "full", "missing"] = ""
     body: bytes = b""
     kept: bool = True
@@ -65,8 +66,22 @@
     job: Id
 
 
+class Count(Message, tag="count"):
+    """How much is in hand here, of whomever?"""
+    id: Id
+
+
+class Counted(Message, tag="counted"):
+    """The answer to `count`: launches in hand, those that ever came, and the gateways whose the former are or were
+    within the last second."""
+    id: Id
+    in_hand: Whole
+    came: Whole
+    by: list[Name] = []
+
+
 # What each end takes from each other end, beside what it always took.
 FROM_CLIENT = (*messages.FROM_CLIENT, Reclaim)
 TO_CLIENT = (*messages.TO_CLIENT, Unknown)
-TO_HOST = (*messages.TO_HOST, Over, Adopt)
-FROM_HOST = (*messages.FROM_HOST, Holds)
+TO_HOST = (*messages.TO_HOST, Over, Adopt, Count)
+FROM_HOST = (*messages.FROM_HOST, Holds, Counted)
--- a/cherrydoor/frames/site.py
+++ b/cherrydoor/frames/site.py
@@ -28,12 +28,13 @@
     number: Id
     wave: Id
     conductor: Name
-    state: Literal["moving", "held", "empty", "undoing", "over"] = "moving"
+    state: Literal["moving", "held", "emptying", "empty", "undoing", "over"] = "moving"
     away: list[Away] = []
     shed: list[Name] = []
     copies: list[Copy] = []
     why: Text = ""
     step: Share = 0.25          # of the site's traffic that a wave moves at most
+    even: bool = False          # also where neighbours have no room for all
 
 
 class LotTold(Struct, omit_defaults=True, gc=False):
@@ -47,10 +48,12 @@
 
 
 class ZoneTold(Struct, array_like=True, gc=False):
-    """Events a second that went there, and how busy its hosts are held to be; None where nothing tells it."""
+    """Events a second that went there, how busy its hosts are held to be, None where nothing tells it, and how many of
+    them stand."""
     site: Name
     rate: Rate
     busy: float | None = None
+    hosts: Id = 0
 
 
 class Followed(Message, tag="followed"):
--- a/cherrydoor/gateway/desk.py
+++ b/cherrydoor/gateway/desk.py
@@ -85,7 +85,7 @@
         taken.adopted, taken.launches = False, []
         if self.versions is not None:
             taken.function = self.versions.choose(event.function, event.document or event.mark or taken.client.name)
-        away = self.site.away(event) if self.site is not None else ""
+        away = self.site.away(event, taken.function) if self.site is not None else ""
         self.notes.append(io.Arrival(taken.number, event.clause, event.party, taken.function, taken.until,
                                      event.lanes, event.load, away))
         if self.custody is not None:
@@ -216,7 +216,9 @@
 
     # ---- releases
     def foreseen(self, name, away=""):
-        self.notes.append(io.Foreseen(name, away))
+        """Also outside a site whose sessions have moved: a release loads ahead where they are, too."""
+        for site in ([away] if away or self.site is None else ["", *self.site.moving()]):
+            self.notes.append(io.Foreseen(name, site))
 
     def stands(self, name, host):
         """Others tell that a copy of the function stands there: as good as an order's answer."""
--- a/cherrydoor/rehearsal/traffic.py
+++ b/cherrydoor/rehearsal/traffic.py
@@ -102,6 +102,8 @@
     clauses = np.array([e["share"] for e in day["events"]], float)
     offices = np.array([o["share"] for o in day["offices"]] or [1.0], float)
     clause = streams["clauses"].choice(len(clauses), len(at), p=clauses / clauses.sum())
+    if day["functions"]["typed"]:
+        clause = np.searchsorted(np.cumsum(clauses / clauses.sum()), (function * 6271 + 7) % 1000 / 1000, side="right")
     owner = (function * 7919 + 13) % 1000 / 1000        # a function belongs to one office, as deeds do
     party = np.searchsorted(np.cumsum(offices / offices.sum()), owner, side="right").clip(0, len(offices) - 1)
     share = day["clients"]["try_share"]
--- a/cherrydoor/site/conducting.py
+++ b/cherrydoor/site/conducting.py
@@ -4,17 +4,16 @@
 
 import structlog
 
+from cherrydoor.frames import custody as c
 from cherrydoor.frames import site as f
 from cherrydoor.site import decide as d
-from cherrydoor.site.plan import REST, STEP, Lot, plan, room_of
+from cherrydoor.site.follow import called
+from cherrydoor.site.neighbours import FRESH, gathered_sites, room_of
+from cherrydoor.site.plan import REST, STEP, Lot, plan, stricter
 
 log = structlog.get_logger()
 
 
-def mean(told):
-    return sum(told) / len(told) if told else None
-
-
 class Conducting:
     """Drains that this gateway conducts or would; its tables are Sites'."""
 
@@ -30,18 +29,25 @@
     steps: dict
     conductors: dict
     heard: dict
+    named: Any
 
-    def want(self, site, step=STEP):
-        self.wanted[site], self.steps[site] = None, step
+    def want(self, site):
+        self.wanted[site] = None
         self.tenures.hold(f"site/{site}", lambda number: self.began(site, number), lambda number: self.ended(site))
 
     def began(self, site, number):
-        """Listens first: a word that the drain goes on under a new number has all gateways report here."""
+        """Listens first: a word that the drain goes on under a new number has all gateways report here. One that is
+        over meanwhile is not begun again: keepers stand in line while it goes on, and its conductor hands over last."""
+        last, asked = self.follower.drains.get(site), self.steps.get(site)
+        if last is not None and last.state == "over":
+            if asked is None:
+                return self.let_go(site)
+            last = None
         self.wanted[site] = self.now()
-        last = self.follower.drains.get(site)
+        step, even = asked or (STEP, False)
         wave = f.Wave(site, number, last.wave if last else 0, self.me, last.state if last else "moving",
                       last.away if last else [], last.shed if last else [], last.copies if last else [],
-                      f"{self.me} conducts", last.step if last else self.steps.get(site, STEP))
+                      f"{self.me} conducts", last.step if last else step, last.even if last else even)
         self.told("", wave)
 
     def ended(self, site):
@@ -49,59 +55,105 @@
         if site in self.wanted:
             self.wanted[site] = None
 
+    def fresh(self, site):
+        """Reports of the site that still count."""
+        now = self.now()
+        return [report for at, report in self.heard.get(site, {}).values() if now - at <= FRESH]
+
+    def sites(self, site):
+        return gathered_sites([[(one.site, one.rate, one.busy, one.hosts) for one in report.zones]
+                               for report in self.fresh(site)])
+
     def lots(self, site):
-        """What all gateways told, as one: (lots, zones)."""
+        """What all gateways told of its functions as one, versions of one together; [(function, version, host)]."""
         sums: dict = {}
-        zones: dict = {}
-        for _, report in self.heard.get(site, {}).values():
+        copies: dict = {}
+        for report in self.fresh(site):
             for one in report.lots:
-                was = sums.get(one.function)
-                sums[one.function] = Lot(
-                    one.function, one.rate + (was.rate if was else 0.0), max(one.benefit, was.benefit if was else 0.0),
-                    max(one.kind, was.kind if was else one.kind, key=("redeliverable", "keyed", "at-most-once").index),
-                    tuple(dict.fromkeys([*(was.hosts if was else ()), *one.hosts])), max(
-                        one.memory, was.memory if was else 0.0))
-            for one in report.zones:
-                zones.setdefault(one.site, []).append((one.rate, one.busy))
-        means = {site: (sum(rate for rate, _ in told), mean([busy for _, busy in told if busy is not None]))
-                 for site, told in zones.items()}
-        return list(sums.values()), means
+                name = self.named(one.function)
+                was = sums.get(name) or Lot(name, 0.0, 0.0, one.kind)
+                sums[name] = Lot(name, one.rate + was.rate, max(one.benefit, was.benefit), stricter(one.kind, was.kind),
+                                 tuple(dict.fromkeys([*was.hosts, *one.hosts])), max(one.memory, was.memory))
+                copies.update(dict.fromkeys((name, one.function, host) for host in one.hosts))
+        return list(sums.values()), list(copies)
 
     def planned(self, site, step):
-        lots, zones = self.lots(site)
-        room = room_of(zones, site)
-        return plan(lots, 1e9 if room is None else room, step), lots, zones
+        lots, copies = self.lots(site)
+        room = room_of(self.sites(site), site)
+        return plan(lots, 1e9 if room is None else room, step), lots, copies
 
     def conduct(self, site, number):
         """The plan by what has been heard, from the wave that was reached."""
         last = self.follower.drains[site]
-        made, lots, _ = self.planned(site, last.step)
-        copies = [(lot.function, host) for lot in lots for host in lot.hosts if lot.function != REST]
-        one = d.Conductor(site, number, self.me, made, self.peers.members.living, self.now(), last, copies)
+        self.steps.pop(site, None)
+        made, _, copies = self.planned(site, last.step)
+        if not last.wave and made.missing > 0 and not last.even:
+            log.warning("a drain is refused", gateway=self.me, site=site, missing=round(made.missing, 1))
+            self.told("", f.Wave(site, number, 1, self.me, "over", why=made.refusal()))
+            return self.let_go(site)
+        one = d.Conductor(site, number, self.me, made, self.peers.members.living, self.now(), last,
+                          [copy for copy in copies if copy[0] != REST], lambda: self.hosts(site))
         self.conductors[site] = one
+        one.neighbours.heard(self.sites(site))
         log.info("this gateway conducts a site's drain", gateway=self.me, site=site, number=number,
                  wave=one.wave, waves=len(made.waves), asked=round(made.asked, 1), room=round(made.room, 1))
         self.carry_out(site, one.start(self.now()))
 
+    def hosts(self, site):
+        """Of the list as it stands here, draining ones too."""
+        return [host.id for host in self.shell.desk.hosts.values()
+                if host.row.zone == site and host.row.state != "gone"]
+
+    def looked(self, site, conductor):
+        """What all tell may show that a copy stands which nobody had to order: calls that moved on had it loaded."""
+        conductor.neighbours.heard(self.sites(site))
+        if conductor.openings.opening:
+            for name, version, host in self.lots(site)[1]:
+                if name in conductor.openings.opening:
+                    self.carry_out(site, conductor.stands(self.now(), name, host, version))
+        self.carry_out(site, conductor.tick(self.now()))
+
     def carry_out(self, site, actions):
         conductor = self.conductors.get(site)
         for action in actions:
             if conductor is None or self.tenures.number(f"site/{site}") != conductor.number:
                 return
             if isinstance(action, d.Open):
-                self.shell.post(self.shell.desk.foreseen, action.function, site)
+                for name in self.versions_of(action.function):
+                    self.shell.post(self.shell.desk.foreseen, name, site)
+            elif isinstance(action, d.Ask):
+                self.shell.post(self.shell.desk.question, action.host, c.Count, d.SAYS,
+                                lambda host, fate, said: self.counted(site, host, said))
             else:
                 self.told("", action.wave)
                 if action.wave.state == "over":
                     self.loop.call_later(2.0, self.let_go, site)
 
+    def versions_of(self, function):
+        """As this gateway calls the function by now."""
+        known = [name for name in self.shell.desk.gate.history.functions if self.named(name) == function]
+        return known or [function]
+
+    def counted(self, site, host, said):
+        conductor = self.conductors.get(site)
+        if conductor is not None:
+            word = (said.in_hand, said.came, said.by) if type(said) is c.Counted else None
+            self.carry_out(site, conductor.counted(self.now(), host, word))
+
     def let_go(self, site):
         self.wanted.pop(site, None)
+        self.steps.pop(site, None)
         self.conductors.pop(site, None)
+        self.heard.pop(site, None)
         self.tenures.release(f"site/{site}")
 
-    def loaded(self, function, host, good):
+    def loaded(self, name, host, good):
         """An order of this gateway has ended."""
         for site, conductor in list(self.conductors.items()):
-            if good and function in conductor.opening:
-                self.carry_out(site, conductor.stands(self.now(), function, host))
+            if good and self.named(name) in conductor.openings.opening:
+                self.carry_out(site, conductor.stands(self.now(), self.named(name), host, name))
+
+
+def plain(versions):
+    """How names of functions are read: versions of one go together where there are any."""
+    return (lambda name: name) if versions is None else called
--- a/cherrydoor/site/decide.py
+++ b/cherrydoor/site/decide.py
@@ -5,20 +5,24 @@
 clock.
 """
 
-from collections import Counter
-
 from msgspec import Struct
 
 from cherrydoor.frames.site import Away, Copy, Wave
+from cherrydoor.site.follow import EMPTY
+from cherrydoor.site.leftover import Leftover
+from cherrydoor.site.neighbours import Neighbours
+from cherrydoor.site.opening import Openings
 from cherrydoor.site.plan import STEP, Plan
+from cherrydoor.site.watch import Watch
 
 CONFIRM = 5000.0        # ms after which a gateway that has not confirmed a wave is a straggler, and not waited for
 SETTLE = 1500.0         # ms for which a wave is watched before the next
 FALL = 0.05             # by which the share within target may fall, against before the drain
 PATIENCE = 8000.0       # ms of a fall after which the conductor steps back one wave
-OPEN = 4000.0           # ms after which a copy that does not stand is ordered again ...
-TRIES = 3               # ... so often; then its function waits for the last wave
-LEAST = 30              # events by which a share within target is judged
+GATHER = 1500.0         # ms for which a new conductor listens before it plans
+WAVE = 2000.0           # ms that a wave takes where nothing holds it up: announced, confirmed, watched
+SAYS = 1000.0           # ms for which a host's word is waited for
+BACK = 3                # steps back after which it stands until an operator says more
 
 
 class Open(Struct, frozen=True):
@@ -30,51 +34,55 @@
     wave: Wave
 
 
-class Report:
-    """What one gateway last said."""
-
-    def __init__(self):
-        self.wave, self.in_hand, self.heard, self.life = (0, 0), 0, 0.0, 0
+class Ask(Struct, frozen=True):
+    """A host is asked what it has in hand."""
+    host: str
 
 
 class Conductor:
     """One drain under one tenure number, from the wave that was reached before; living() gives the names of gateways
-    that are there. Waits in state "copies", "moving" and "emptying"; stands in "held", "empty", "over"."""
+    that are there, hosts() those of the site's hosts in the list. Waits in state "copies", "moving" and "emptying";
+    stands in "held", "empty", "over"."""
 
-    def __init__(self, site, number, me, plan: Plan, living, now, last=None, copies=()):
-        """last: the highest Wave that anybody holds, None at the beginning; copies: [(function, host)] that stand."""
+    def __init__(self, site, number, me, plan: Plan, living, now, last=None, copies=(), hosts=lambda: ()):
+        """last: the highest Wave that anybody holds, None at the beginning; copies: [(function, the name that hosts
+        know it by, host)] that stand."""
         self.site, self.number, self.me, self.plan, self.living = site, number, me, plan, living
         self.wave, self.at, self.state, self.why = last.wave if last else 0, 0, "copies", ""
         self.shares = {one.function: one.share for one in last.away} if last else {}
-        self.reports, self.copies, self.opening, self.tried = {}, [Copy(*one) for one in copies], {}, Counter()
-        self.good: list = []            # (when, good, taken) of reports since the wave
+        self.waves = [list(wave) for wave in plan.waves]
+        self.watch, self.copies = Watch(), [Copy(name, host) for _, name, host in copies]
+        self.openings = Openings(function for function, _, _ in copies)
         self.before, self.since, self.fell, self.back = None, now, None, 0
         self.undone, self.step = last is not None and last.state == "undoing", last.step if last else STEP
-        self.first = last is None
-        while self.at < len(plan.waves) and all(
-                self.shares.get(s.function, 0.0) >= s.share for s in plan.waves[self.at]):
+        self.even = last is not None and last.even
+        self.neighbours, self.leftover = Neighbours(site), Leftover(hosts)
+        # never back: what nothing is steered to any more stays so, whatever the plan has found since
+        while self.at < len(self.waves) and (last is not None and last.state in EMPTY or all(
+                self.shares.get(s.function, 0.0) >= s.share for s in self.waves[self.at])):
             self.at += 1
 
     # ---- notes
     def start(self, now):
         if self.undone:
             return self.undo(now)
-        return self.prepare(now) if self.at < len(self.plan.waves) else self.emptying(now)
+        return self.go_on(now)
+
+    def go_on(self, now):
+        return self.prepare(now) if self.at < len(self.waves) else self.emptying(now)
 
     def followed(self, now, report):
-        held = self.reports.setdefault(report.gateway, Report())
-        if report.life < held.life:
-            return []
-        held.wave, held.in_hand, held.heard, held.life = (report.number, report.wave), report.in_hand, now, report.life
-        if report.taken:
-            self.good.append((now, report.good, report.taken))
-            del self.good[:-400]
+        return self.tick(now) if self.watch.heard(now, report) else []
+
+    def stands(self, now, function, host, called=""):
+        """A copy stands there, by an order's answer; called: the name that hosts know it by."""
+        self.copies.append(Copy(called or function, host))
+        self.openings.stands(function)
         return self.tick(now)
 
-    def stands(self, now, function, host):
-        """A copy stands there, by an order's answer."""
-        self.copies.append(Copy(function, host))
-        self.opening.pop(function, None)
+    def counted(self, now, host, word):
+        """A host's answer, None where there was none."""
+        self.leftover.said(now, host, word)
         return self.tick(now)
 
     def operator(self, now, do):
@@ -82,7 +90,8 @@
             self.state, self.why = "held", "by an operator"
             return [self.say("held")]
         if do == "resume" and self.state == "held":
-            self.good, self.fell = [], None
+            self.fell, self.back, self.why = None, 0, ""
+            self.openings.without.update(self.openings.opening)
             return self.start(now)
         return self.undo(now) if do == "undo" and not self.undone else []
 
@@ -90,62 +99,83 @@
     def prepare(self, now):
         """Copies of the next wave, before anything moves."""
         self.state, self.since = "copies", now
-        known = {one.function for one in self.copies}
-        wanted = [s.function for s in self.plan.waves[self.at] if s.opens and s.function not in known]
-        self.opening = {name: now for name in wanted}
-        for name in wanted:
-            self.tried[name] += 1
+        wanted = self.openings.begin(now, self.waves[self.at])
         return [Open(name) for name in wanted] or self.move(now)
 
     def move(self, now):
-        for step in self.plan.waves[self.at]:
+        if self.neighbours.lost():
+            return []
+        for step in self.waves[self.at]:
             self.shares[step.function] = max(step.share, self.shares.get(step.function, 0.0))
         self.at += 1
         if self.before is None:
-            self.before = self.share(now - 60000.0)
+            self.before = self.watch.share(now - 60000.0)
         return self.announce(now, "moving")
 
     def announce(self, now, state):
-        self.wave, self.state, self.since, self.good, self.fell = self.wave + 1, "moving", now, [], None
+        self.wave, self.state, self.since, self.fell = self.wave + 1, "moving", now, None
         return [self.say(state)]
 
     def say(self, state):
-        shed = self.plan.shed if state == "empty" else []
+        shed = self.plan.shed if state in EMPTY else []
         away = [Away(name, share) for name, share in self.shares.items() if share > 0]
         return Say(Wave(self.site, self.number, self.wave, self.me, state, away, shed, self.copies, self.why,
-                        self.step))
+                        self.step, self.even))
 
     def tick(self, now):
+        if self.undone or self.state == "over":
+            return self.moved(now) if self.state == "moving" else []
+        if self.neighbours.lost():
+            return self.bereft(now)
+        if self.why.startswith("neighbours"):
+            self.why = ""
         if self.state == "copies":
             return self.copies_stand(now)
         if self.state == "moving":
             return self.moved(now)
-        if self.state == "emptying":
-            return self.emptied(now)
-        return []
+        return self.emptied(now) if self.state == "emptying" else []
+
+    def bereft(self, now):
+        """Neighbours are lost: no wave goes out, and the site takes back what those that are left cannot bear."""
+        if self.state == "held":
+            return []
+        self.why, excess = self.neighbours.lost(), self.neighbours.excess()
+        if not excess or not self.at or not self.neighbours.takes_back():
+            return []
+        if self.state == "moving" and (self.waited_for(now) or now - self.since < SETTLE):
+            return []           # the last one is still on its way
+        while excess > 0 and self.at:
+            self.at -= 1
+            excess -= sum(step.rate for step in self.waves[self.at])
+        self.shares = self.reached()
+        return self.announce(now, "moving")
 
     def copies_stand(self, now):
-        late = [name for name, at in self.opening.items() if now - at > OPEN]
-        again = [name for name in late if self.tried[name] < TRIES]
-        for name in late:
-            if name in again:
-                self.opening[name], self.tried[name] = now, self.tried[name] + 1
-            else:
-                del self.opening[name]      # it moves without: its first event there opens the copy
-                self.why = f"no copy of {name} stands after {TRIES} orders"
-        return [Open(name) for name in again] if self.opening else self.move(now)
+        openings, last = self.openings, self.at == len(self.waves) - 1
+        again, off = openings.late(now, last)
+        for name in off:
+            self.waves[self.at:] = openings.put_off(name, self.waves[self.at:])
+            self.why = f"put off, as no copy stands: {' '.join(openings.off)}"
+        if last and (why := openings.given_up(now)):
+            self.state, self.why = "held", why
+            return [self.say("held")]
+        if openings.opening:
+            return [Open(name) for name in again]
+        return self.move(now) if self.waves[self.at] else self.skip(now)
+
+    def skip(self, now):
+        self.at += 1
+        return self.go_on(now)
 
     def waited_for(self, now):
         """Living gateways that have not confirmed this wave and are not yet stragglers."""
-        if now - self.since > CONFIRM:
-            return []
-        mine = (self.number, self.wave)
-        return [name for name in self.living() if name not in self.reports or self.reports[name].wave < mine]
+        late = self.watch.late(self.living(), (self.number, self.wave))
+        return late if now - self.since <= CONFIRM else []
 
     def moved(self, now):
         if self.waited_for(now) or now - self.since < SETTLE:
             return []
-        share = self.share(self.since + SETTLE / 2)
+        share = self.watch.share(self.since + SETTLE / 2)
         if self.undone:
             return self.undo(now)
         if share is not None and self.before is not None and share < self.before - FALL:
@@ -154,61 +184,65 @@
                 self.why = f"{share:.2f} within target, {self.before:.2f} before"
             return self.step_back(now) if now - self.fell > PATIENCE else []
         self.fell = None
-        return self.prepare(now) if self.at < len(self.plan.waves) else self.emptying(now)
+        return self.go_on(now)
 
-    def step_back(self, now):
-        """The last wave's steps are taken back; after three times it stands and says why."""
-        self.at, self.back = max(0, self.at - 1), self.back + 1
+    def reached(self):
+        """function -> share, by the waves that stand."""
         reached: dict = {}
-        for wave in self.plan.waves[:self.at]:
+        for wave in self.waves[:self.at]:
             for step in wave:
                 reached[step.function] = max(step.share, reached.get(step.function, 0.0))
-        self.shares = reached
+        return reached
+
+    def step_back(self, now):
+        """The last wave's steps are taken back; after three times it stands and says why."""
+        self.at, self.back = max(0, self.at - 1), self.back + 1
+        self.shares = self.reached()
         actions = self.announce(now, "moving")
-        if self.back >= 3:
+        if self.back >= BACK:
             self.state = "held"
         return actions
 
+    # ---- the end
     def emptying(self, now):
         """Everything is away that has room; what is shed is deferred from here on."""
         self.wave, self.since, self.state = self.wave + 1, now, "emptying"
-        return [self.say("empty")]
+        return [self.say("emptying")]
 
     def emptied(self, now):
-        mine = (self.number, self.wave)
+        """By the gateways' word, then by the hosts' own count."""
         living = self.living()
-        if self.waited_for(now) or any(self.reports[n].in_hand for n in living if n in self.reports):
+        busy, late = self.watch.busy(living), self.watch.late(living, (self.number, self.wave))
+        self.why = ""
+        if late and now - self.since <= CONFIRM:
+            return []
+        if busy or late:
+            self.why = "in hand at " + " ".join(busy[:3]) if busy else "not confirmed by " + " ".join(late[:3])
+        if busy:
             return []
-        if all(n in self.reports and self.reports[n].wave >= mine for n in living) or now - self.since > CONFIRM:
-            self.state = "empty"
-        return []
+        actions = [Ask(name) for name in self.leftover.ask(now)]
+        if not self.leftover.empty(now):
+            self.why = self.leftover.why() or self.why
+            return actions
+        self.wave, self.state = self.wave + 1, "empty"
+        return [self.say("empty")]
 
     def undo(self, now):
         """Sessions come back in the same order reversed, one wave at a time, each confirmed."""
         self.undone = True
-        self.at = min(self.at, len(self.plan.waves))
+        self.at = min(self.at, len(self.waves))
         if not self.shares:
             self.wave, self.state = self.wave + 1, "over"
             return [self.say("over")]
         self.at = max(0, self.at - 1)
-        reached: dict = {}
-        for wave in self.plan.waves[:self.at]:
-            for step in wave:
-                reached[step.function] = max(step.share, reached.get(step.function, 0.0))
-        self.shares = reached
+        self.shares = self.reached()
         return self.announce(now, "undoing")
 
-    # ---- what is watched
-    def share(self, since):
-        """Within target, of all that was answered since then; None where that is too little to tell."""
-        good = sum(g for t, g, _ in self.good if t >= since)
-        taken = sum(n for t, _, n in self.good if t >= since)
-        return good / taken if taken >= LEAST else None
-
     def table(self):
         return {"site": self.site, "number": self.number, "wave": self.wave, "state": self.state, "why": self.why,
-                "waves": len(self.plan.waves), "reached": self.at, "shed": self.plan.shed,
+                "waves": len(self.waves), "reached": self.at, "shed": self.plan.shed,
                 "room": round(self.plan.room, 1), "asked": round(self.plan.asked, 1),
-                "within target before": self.before,
-                "in hand": sum(r.in_hand for r in self.reports.values()),
-                "confirmed": sum(r.wave >= (self.number, self.wave) for r in self.reports.values())}
+                "within target before": self.before, "neighbours standing": round(self.neighbours.standing(), 2),
+                "in hand": sum(r.in_hand for r in self.watch.reports.values()),
+                "in hand by hosts": sum(one.in_hand or 0 for one in self.leftover.words.values()),
+                "confirmed": sum(r.wave >= (self.number, self.wave) for r in self.watch.reports.values())}
--- a/cherrydoor/site/follow.py
+++ b/cherrydoor/site/follow.py
@@ -12,12 +12,23 @@
 
 from cherrydoor.site.plan import REST
 
+EMPTY = ("emptying", "empty")       # states in which nothing is steered to the site any more
+
 
 def session(document, party, function):
     """What moves together: the events with one document, else those of one party and function."""
     return document or f"{party}\0{function}"
 
 
+def called(name):
+    """The function that a version is of, as events name it.
+
+    >>> called("deed-1@7"), called("deed-1")
+    ('deed-1', 'deed-1')
+    """
+    return name.partition("@")[0]
+
+
 def part(site, one):
     """Where a session stands between 0 and 1, alike at every gateway.
 
@@ -45,7 +56,9 @@
         if held is not None and (held.number, held.wave) >= (wave.number, wave.wave):
             self.counts["waves that were old"] += (held.number, held.wave) > (wave.number, wave.wave)
             return False
-        before = {one.function: one.share for one in held.away} if held else {}
+        if held is not None and held.state == "over":
+            self.since.pop(wave.site, None)         # another drain: its sessions move anew
+        before = {one.function: one.share for one in held.away} if held and held.state != "over" else {}
         since = self.since.setdefault(wave.site, {})
         for one in wave.away:
             if one.share > before.get(one.function, 0.0):
@@ -53,6 +66,11 @@
         self.drains[wave.site] = wave
         return True
 
+    def moving(self):
+        """Sites of which sessions have moved."""
+        return [site for site, wave in self.drains.items()
+                if wave.state != "over" and (wave.away or wave.state in EMPTY)]
+
     def tells(self, now, function, kind, memory, one):
         """Told of an event whose session is `one`. kind, memory: of its event type; memory 0 where all hosts remember
         its marks or none has any: a keyed event whose group is a part of the hosts does not move while that part may
@@ -68,8 +86,8 @@
                 if kind == "keyed" and memory and young:
                     return Told(site, "its marks are still remembered at a site that is drained")
                 return Told(site)
-            if name in wave.shed and wave.state == "empty":
+            if name in wave.shed and wave.state in EMPTY:
                 return Told(site, "a site is drained and its neighbours have no room")
-            if wave.state == "empty":
+            if wave.state in EMPTY:
                 return Told(site)
         return Told()
--- a/cherrydoor/site/plan.py
+++ b/cherrydoor/site/plan.py
@@ -12,9 +12,21 @@
 STEP = 0.25             # of the site's events a second that one wave moves at most
 COPIES = 4              # copies that one wave has opened at most: the store and cold memory bear so many at a time
 LEAST = 0.02            # of the site's traffic that a lot must have to stand by itself; smaller ones are the rest
+NAMED = 60              # functions that a report names; the others go as the rest
 REST = ""               # the name of the rest: every function that is not named
 
 
+KINDS = ("redeliverable", "keyed", "at-most-once")      # the later, the stricter
+
+
+def stricter(*kinds):
+    """
+    >>> stricter("keyed", "redeliverable")
+    'keyed'
+    """
+    return max(kinds, key=KINDS.index)
+
+
 class Lot(Struct, frozen=True):
     """rate: events a second at the site; benefit: lost with each that is late; kind: of the event type, the strictest;
     hosts: where matching copies stand elsewhere; memory: how long hosts remember marks, ms, of keyed ones."""
@@ -27,10 +39,12 @@
 
 
 class Step(Struct, frozen=True):
-    """From this wave on sessions below this share of a function's are away; `opens`: a copy has to stand first."""
+    """From this wave on sessions below this share of a function's are away; `opens`: a copy has to stand first; rate:
+    events a second that move with it."""
     function: str
     share: float
     opens: bool = False
+    rate: float = 0.0
 
 
 class Plan(Struct, frozen=True):
@@ -46,6 +60,10 @@
         """Events a second for which neighbours have no room."""
         return max(0.0, self.asked - self.room)
 
+    def refusal(self):
+        return (f"neighbours have room for {self.room:.1f} of {self.asked:.1f} events a second: "
+                f"{self.missing:.1f} are missing")
+
 
 def priority(lot):
     """What goes first sorts first: most benefit an event, then what costs nothing to move, then the busiest."""
@@ -60,8 +78,8 @@
     rate = sum(lot.rate for lot in small)
     if rate:
         benefit = sum(lot.rate * lot.benefit for lot in small) / rate
-        strict = max((lot.kind for lot in small), key=("redeliverable", "keyed", "at-most-once").index)
-        big.append(Lot(REST, rate, benefit, strict, ("",), max(lot.memory for lot in small)))
+        big.append(Lot(REST, rate, benefit, stricter(*(lot.kind for lot in small)), ("",),
+                       max(lot.memory for lot in small)))
     return sorted(big, key=priority)
 
 
@@ -93,7 +111,7 @@
             share = min(1.0, share + part)
             moved += part * lot.rate
             opened += opens
-            wave.append(Step(lot.function, 1.0 if share > 1 - 1e-9 else share, opens))
+            wave.append(Step(lot.function, 1.0 if share > 1 - 1e-9 else share, opens, part * lot.rate))
     if wave:
         waves.append(wave)
     return Plan(waves, shed, room, asked)
@@ -118,12 +136,3 @@
     """
     shares = {step.function: step.share for wave in chosen.waves for step in wave}
     return sum(lot.rate * lot.benefit * shares.get(lot.function, 0.0) for lot in gathered(lots))
-
-
-def room_of(zones, site):
-    """Events a second that the other sites bear beyond what they have, by how busy each is. zones: site -> (events a
-    second, busy: the share of what it can do, None where nothing tells it). None where none of them tells."""
-    told = [(rate, busy) for name, (rate, busy) in zones.items() if name != site and busy]
-    if not told:
-        return None
-    return sum(rate * (1.0 / busy - 1.0) for rate, busy in told if busy < 1.0)
--- a/cherrydoor/site/shell.py
+++ b/cherrydoor/site/shell.py
@@ -5,14 +5,13 @@
 
 from cherrydoor.frames import site as f
 from cherrydoor.site import follow as d
-from cherrydoor.site.conducting import Conducting
-from cherrydoor.site.plan import REST, step_within
+from cherrydoor.site.conducting import Conducting, plain
+from cherrydoor.site.decide import GATHER, WAVE
+from cherrydoor.site.plan import NAMED, REST, step_within, stricter
+from cherrydoor.site.watch import pause
 
 log = structlog.get_logger()
-LOOK = 0.25             # s between reports of one who follows, and looks of the conductor
-GATHER = 1500.0         # ms for which a new conductor listens before it plans
-WAVE = 2000.0           # ms that a wave takes where nothing holds it up: announced, confirmed, watched
-NAMED = 60              # functions that a report names; the rest as one
+LOOK = 0.25             # s between looks at what is to be said and led
 KNOWN = 4000            # functions of which event types are remembered
 
 
@@ -26,8 +25,10 @@
         self.kinds = {c.name: c for c in lease.clauses}
         self.benefits = self.shell.figures.benefits
         self.conductors, self.wanted, self.heard, self.seen, self.timer = {}, {}, {}, {}, None
-        self.steps = {}             # site -> share of a wave, as its operator's time wants it; with `wanted`
+        self.steps = {}             # site -> (share of a wave, --even) as an operator said; until it is conducted
         self.taken = self.good = 0
+        self.reported = {}          # site -> (when, wave) of the last report; as many as there are drains
+        self.named = plain(self.shell.releases)
         peers.linked.append(self.linked)
         for kind, what in ((f.Wave, self.told), (f.Followed, self.followed), (f.Drain, self.ordered)):
             peers.follow(kind, what)
@@ -51,11 +52,15 @@
     def defers(self, event):
         return self.tells(event).defer if self.follower.drains else ""
 
-    def away(self, event):
-        if len(self.seen) < KNOWN:
-            self.seen.setdefault(event.function, {})[event.clause] = True
+    def away(self, event, function):
+        """function: as it is called, a version of the event's."""
+        if function in self.seen or len(self.seen) < KNOWN:
+            self.seen.setdefault(function, {})[event.clause] = True
         return self.tells(event).away if self.follower.drains else ""
 
+    def moving(self):
+        return self.follower.moving()
+
     def answered(self, taken, fate, now):
         self.taken += 1
         self.good += fate == "handled" and now - taken.at <= self.kinds[taken.event.clause].target
@@ -86,29 +91,22 @@
         for wave in self.follower.drains.values():
             self.peers.say(name, wave)
 
-    def report(self, site, number, wave):
-        """How this gateway fares, and what it knows of the site."""
+    def report(self, site, number, wave, taken=0, good=0):
+        """How this gateway fares, and what it knows of the site. taken, good: events since the last report."""
         desk = self.shell.desk
         in_hand = sum(len(link.out) for host in desk.hosts.values() if host.row.zone == site for link in host.links)
         lots = sorted(desk.gate.zone.lots(site), key=lambda lot: -lot[1])
+        self.seen = {name: types for name, types in self.seen.items() if name in desk.gate.history.functions}
         named, rest = lots[:NAMED], sum(rate for _, rate, _ in lots[NAMED:])
         told = [self.lot(*one) for one in named if one[1] > 0]
         if rest:
             told.append(f.LotTold(REST, rest))
-        zones: dict = {}
-        for host in desk.gate.hosts.values():
-            if host.state == "ready":
-                zones.setdefault(host.zone, []).append(host)
-        rates = desk.gate.handled.read(self.now()) / 2.9 / max(1, len(desk.gate.hosts))
-        zone_rows = [f.ZoneTold(zone, rates * len(hosts), sum(min(1.0, h.used) for h in hosts) / len(hosts))
-                     for zone, hosts in zones.items()]
-        taken, good, self.taken, self.good = self.taken, self.good, 0, 0
-        return f.Followed(self.me, self.peers.me.life, site, number, wave, in_hand, taken, good, told, zone_rows)
+        zones = [f.ZoneTold(*one) for one in desk.gate.zone.sites()]
+        return f.Followed(self.me, self.peers.me.life, site, number, wave, in_hand, taken, good, told, zones)
 
     def lot(self, name, rate, hosts):
         kinds = [self.kinds[c] for c in self.seen.get(name, ())] or list(self.kinds.values())[:1]
-        strict = max(kinds, key=lambda c: ("redeliverable", "keyed", "at-most-once").index(c.kind))
-        return f.LotTold(name, rate, max(self.benefits[c.name] for c in kinds), strict.kind,
+        return f.LotTold(name, rate, max(self.benefits[c.name] for c in kinds), stricter(*(c.kind for c in kinds)),
                          max(c.memory for c in kinds), hosts[:8])
 
     def followed(self, sender, report):
@@ -137,8 +135,7 @@
         self.timer = self.loop.call_later(LOOK, self.look)
         now = self.now()
         for site, wave in list(self.follower.drains.items()):
-            if wave.state != "over" or now - self.heard.get(site, {}).get(self.me, (now,))[0] < 5000.0:
-                self.send(wave.conductor, self.report(site, wave.number, wave.wave))
+            self.tell(site, wave, now)
             if wave.state != "over" and site not in self.wanted and self.me in self.tenures.keepers:
                 self.want(site)         # keepers take over a drain whose conductor is lost
         for site, began in list(self.wanted.items()):
@@ -147,7 +144,19 @@
             if conductor is None and number is not None and began is not None and now - began > GATHER:
                 self.conduct(site, number)
             elif conductor is not None and number == conductor.number:
-                self.carry_out(site, conductor.tick(now))
+                self.looked(site, conductor)
+
+    def tell(self, site, wave, now):
+        """The conductor hears of a new wave at once, and else now and then."""
+        at, last = self.reported.get(site, (-1e18, None))
+        mine = wave.number, wave.wave
+        due = pause(len(self.peers.members.living()))
+        if wave.state == "over":
+            due = 1e18              # once
+        if mine != last or now - at >= due - 1.0:
+            self.reported[site] = now, mine
+            taken, good, self.taken, self.good = self.taken, self.good, 0, 0
+            self.send(wave.conductor, self.report(site, *mine, taken, good))
 
     # ---- operators
     def order(self, said):
@@ -175,12 +184,9 @@
                 return {"error": f"a drain takes {(GATHER + WAVE) / 1000:g} s at the least: to listen, and a wave"}
             made = self.dry(site, step)
             if made["missing"] > 0 and not said.get("even"):
-                return {"error": f"neighbours have room for {made['room']} of {made['asked']} events a second: "
-                                 f"{made['missing']} are missing"}
-            if held is not None:
-                self.follower.drains.pop(site)
-                self.follower.since.pop(site, None)
-            self.want(site, step)
+                return {"error": made["refusal"]}
+            self.steps[site] = step, bool(said.get("even"))
+            self.want(site)
             return self.table(site)
         if not on:
             return {"error": f"{site} is not being drained"}
@@ -197,13 +203,13 @@
 
     def dry(self, site, step):
         """What would be done, by what this gateway knows alone, or as conductor by what all have told."""
-        if site not in self.heard:
-            self.heard[site] = {self.me: (self.now(), self.report(site, 0, 0))}
-        made, lots, zones = self.planned(site, step)
+        self.heard.setdefault(site, {})[self.me] = self.now(), self.report(site, 0, 0)
+        made, lots, _ = self.planned(site, step)
         by = {lot.function: lot for lot in lots}
         return {"site": site, "asked": round(made.asked, 1), "room": round(made.room, 1), "shed": made.shed,
-                "missing": round(made.missing, 1), "told by": sorted(self.heard[site]),
-                "sites": {name: {"rate": round(rate, 1), "busy": busy} for name, (rate, busy) in zones.items()},
+                "missing": round(made.missing, 1), "refusal": made.refusal(), "told by": sorted(self.heard[site]),
+                "sites": {name: {"rate": round(one.rate, 1), "busy": one.busy, "hosts": one.hosts}
+                          for name, one in self.sites(site).items()},
                 "waves": [[{"function": s.function or "(rest)", "share": round(s.share, 3), "opens": s.opens,
                             "benefit": by[s.function].benefit if s.function in by else 1.0} for s in wave]
                           for wave in made.waves]}
--- a/cherrydoor/standin/estates.py
+++ b/cherrydoor/standin/estates.py
@@ -77,6 +77,12 @@
         for other in [other for other in self.ends if self.refused(other)]:
             other.close(c.LIFE_OVER)
 
+    def count(self, end, message):
+        """What is in hand here, of whomever, and how many launches ever came."""
+        by = dict.fromkeys(job.origin[0] or job.end.name for job in self.jobs.values())
+        by |= dict.fromkeys(one.origin[0] for one in self.past if one.at > now() - 1000.0)
+        self.say(end, c.Counted(message.id, len(self.jobs), self.numbers, list(by)[:8]))
+
     def adopt(self, end, message):
         """The job's outcome goes to the heir; it may have ended meanwhile."""
         found = next(((key, job) for key, job in self.jobs.items() if job.number == message.job), None)
--- a/cherrydoor/standin/host.py
+++ b/cherrydoor/standin/host.py
@@ -117,6 +117,8 @@
             self.over(end, message)
         elif kind is custody.Adopt:
             self.adopt(end, message)
+        elif kind is custody.Count:
+            self.count(end, message)
         elif kind is m.Drop:
             copies = self.functions.get(message.function)
             if copies:
