--- a/cherrydoor/custody/claims.py
+++ b/cherrydoor/custody/claims.py
@@ -15,14 +15,25 @@
 
 
 class Claims:
-    """Rows by (giver, life, event, client); each goes when its client's time is over."""
+    """Rows by (giver, life, event, client); each goes when its client's time is over, and with it its names: rows by
+    (giver, life, event), as clients give themselves ids, and by (giver, life, mark)."""
 
     def __init__(self, size=BYTES):
-        self.size, self.bytes, self.rows, self.counts = size, 0, {}, Counter()
+        self.size, self.bytes, self.rows, self.names, self.counts = size, 0, {}, {}, Counter()
 
     def expect(self, giver, life, line, mark=b""):
         trust = line.trust
-        self.rows[giver, life, trust.event, trust.client] = Row(trust.key, mark, line.until)
+        key = giver, life, trust.event, trust.client
+        if key in self.rows:
+            self.forget(key)
+        self.rows[key] = Row(trust.key, mark, line.until)
+        for name in self.named(key):
+            self.names.setdefault(name, {})[key] = True
+
+    def named(self, key):
+        giver, life, event, _ = key
+        mark = self.rows[key].mark
+        return [(giver, life, event), *([(giver, life, mark)] if mark else [])]
 
     def answer(self, giver, life, line, answer):
         """Those who wait for it, to be told; nobody where it was answered before."""
@@ -42,9 +53,9 @@
     def claim(self, giver, life, event, key, who, mark=b""):
         """(known, its answer or None while it is awaited). By id, or by mark for a plain repeat; without the event's
         own key nobody hears more than no. An answer can be claimed again: the way back may fail once more."""
-        for (g, of, number, _), row in self.rows.items():
-            named = number == event if not mark else row.mark == mark
-            if (g, of) == (giver, life) and named and key and row.key == key:
+        for one in self.names.get((giver, life, mark or event), ()):
+            row = self.rows[one]
+            if key and row.key == key:
                 self.counts["claimed"] += 1
                 if row.answer is None:
                     row.waiting.append(who)
@@ -53,6 +64,10 @@
         return False, None
 
     def forget(self, key):
+        for name in self.named(key):
+            del self.names[name][key]
+            if not self.names[name]:
+                del self.names[name]
         row = self.rows.pop(key)
         self.bytes -= len(row.answer.body) if row.answer else 0
 
--- a/cherrydoor/custody/decide.py
+++ b/cherrydoor/custody/decide.py
@@ -17,6 +17,7 @@
 FRESH = 0.8             # of the time for which hosts remember a mark: a launch anew after that might have an effect
 LEAST = 30.0            # ms left of a client's time below which an event is not run
 STAGGER = 400.0         # ms by which each further witness seeks an estate later than the one before it
+SAYS = 500.0            # ms that hosts may take to say what they hold
 AT_ONCE, IN_HAND = 64, 100      # hosts asked, and launches anew out, at a time
 APART = 1000.0          # ms over which clients of a life that is over are told to come back
 
--- a/cherrydoor/custody/estate.py
+++ b/cherrydoor/custody/estate.py
@@ -76,6 +76,14 @@
 
     def round(self, now, witnesses):
         """[(witnesses, Entrust)]: what is new to each, at the end of a turn; a new witness is told the whole."""
+        if witnesses and witnesses == self.witnesses:       # as nearly always
+            if not self.pending():
+                return []
+            held, where = self.held, self.where
+            out = [*self.out, *(o for number in self.new for o in held[where[number]][number][2])]
+            one = Entrust(self.life, 0, False, [self.left(now, number) for number in self.new], out, self.over)
+            self.new, self.out, self.over, self.oldest_new = {}, [], [], None
+            return [(witnesses, one)]
         told = [name for name in witnesses if name in self.witnesses]
         fresh = [name for name in witnesses if name not in self.witnesses]
         dropped = [name for name in self.witnesses if name not in witnesses]
--- a/cherrydoor/custody/heir.py
+++ b/cherrydoor/custody/heir.py
@@ -12,7 +12,6 @@
 from cherrydoor.gateway.books import Client
 
 log = structlog.get_logger()
-WAIT = 500.0            # ms that hosts may take to say what they hold
 REMEMBERED = 60000.0    # ms for which it is known who was heir to what: longer than any client's time
 KEPT = 2000             # takeovers that are remembered
 
@@ -94,7 +93,7 @@
             return
         now = custody.now()
         hosts = [one.id for one in desk.hosts.values() if one.row.state != "gone"]
-        takeover = d.Takeover(estate, number, hosts, custody.kinds, now, WAIT)
+        takeover = d.Takeover(estate, number, hosts, custody.kinds, now, d.SAYS)
         work = self.work[estate.task] = Work(self, estate, takeover)
         marks = []
         for line in estate.lines.values():
@@ -113,7 +112,7 @@
         for ask in asks:
             self.custody.shell.post(
                 self.custody.shell.desk.question, ask.host,
-                lambda id_: c.Over(id_, estate.giver, estate.life, number), WAIT,
+                lambda id_: c.Over(id_, estate.giver, estate.life, number), d.SAYS,
                 lambda host, fate, holds: self.said(work, host, holds))
 
     def said(self, work, host, holds):
