A keeper of hundreds beats less often, never so that it seems silent

Beats on links of keepers now come less often by the number of gateways beyond 64, at most a third of what counts as silence; links between a gateway and its witnesses, by which a loss is noticed first, keep theirs.

--- a/cherrydoor/peers/links.py
+++ b/cherrydoor/peers/links.py
@@ -14,6 +14,7 @@
 from cherrydoor.peers.decide import FINAL, HERE, SILENT, VANISHED
 
 AGAIN, LONGEST = 100.0, 2000.0      # ms before a dial is tried again, doubled up to the longest
+CROWD = 64              # gateways, beyond which beats on links of keepers come less often: a keeper has all of them
 IDLE = 10000.0          # ms without use after which a link that was dialled for a question is closed
 
 
@@ -66,7 +67,7 @@
         for name, line in list(self.lines.items()):
             if line.up and now - line.heard > self.silent:
                 actions += self.suspect(name, line, SILENT)
-            elif line.up and now - line.said >= self.beat:
+            elif line.up and now - line.said >= self.pause(name):
                 line.said = now
                 actions.append(Say(name, Beat()))
             if line.up and line.dialled and name not in wanted and now - line.used > IDLE:
@@ -76,6 +77,13 @@
                 del self.lines[name]
         return [*actions, *self.tell()]
 
+    def pause(self, name):
+        """ms without anything to say after which a beat is sent there; never so long that silence would be seen."""
+        members = self.members
+        if not (members.me.keeper or members.members.get(name) and members.members[name].keeper):
+            return self.beat
+        return max(self.beat, min(self.silent / 3, self.beat * len(members.members) / CROWD))
+
     def tell(self):
         """What is new goes to everybody linked."""
         rows = self.members.round(self.now)
--- a/tests/peers/test_statements.py
+++ b/tests/peers/test_statements.py
@@ -138,3 +138,14 @@
         if said(links.tick(float(t)), Close):
             break
     assert not links.is_up(name) and t > 10000
+
+
+def test_a_keeper_of_many_beats_less_often_but_never_so_that_it_seems_silent():
+    one, links = linked("a", "k")
+    for name in ("a", "k"):
+        links.up(1.0, name, 1, True)
+    assert links.pause("k") == links.pause("a") == 100.0
+    one.hear(2.0, [Member(f"g{i}", 1) for i in range(128)])
+    assert links.pause("a") == 100.0 < links.pause("k") < 210.0
+    one.hear(3.0, [Member(f"h{i}", 1) for i in range(2000)])
+    assert links.pause("k") == 1000.0 / 3 and links.pause("a") == 100.0
