What neighbours bear follows from rate and answer time; what shows to find no room is shed, lowest first

A probe of the plan: room 626 events a second where 256 were left, asked 124 where 192 went to the site. At fault: site/shell.py took how busy hosts are from the module's own figure, which is nought at hosts that a gateway has not asked itself about of late; lots are of homes, so that second workers at the site were not counted; and once all was away nobody looked at the share any more, while overload shows after some seconds (site/decide.py).

Lots are scaled to all that goes to the site.

--- a/cherrydoor/cli/fellows.py
+++ b/cherrydoor/cli/fellows.py
@@ -139,8 +139,8 @@
     print(rows_of(rows, (("wave", 5, lambda r: r[0]), ("function", 24, lambda r: r[1]["function"]),
                          ("share", 6, lambda r: f"{r[1]['share']:.0%}"), ("benefit", 8, lambda r: r[1]["benefit"]),
                          ("copy", 12, lambda r: "to be opened" if r[1]["opens"] else "stands"))))
-    if said["shed"]:
-        print("deferred at the end: " + " ".join(one or "(rest)" for one in said["shed"]))
+    if said["beyond"]:
+        print("not known to be borne, tried last with --even: " + " ".join(one or "(rest)" for one in said["beyond"]))
 
 
 for name, about in (("drain", "Drain SITE; refused where its neighbours have no room."),
--- a/cherrydoor/frames/site.py
+++ b/cherrydoor/frames/site.py
@@ -48,11 +48,10 @@
 
 
 class ZoneTold(Struct, array_like=True, gc=False):
-    """Events a second that went there, how busy its hosts are held to be, None where nothing tells it, and how many of
-    them stand."""
+    """Events a second that went there, the mean time of an answer in ms, None where no host stands, and how many do."""
     site: Name
     rate: Rate
-    busy: float | None = None
+    took: Annotated[float, Meta(ge=0.0, le=1e9)] | None = None
     hosts: Id = 0
 
 
--- a/cherrydoor/logic/host.py
+++ b/cherrydoor/logic/host.py
@@ -31,7 +31,7 @@
         """A process that starts anew has an empty memory and a clean slate."""
         self.since, self.heard, self.strikes, self.shut, self.struck = since, 0.0, 0, 0.0, 0.0
         self.passed = 0.0           # when the latest of the answered events was sent
-        self.probing, self.sheds, self.used = False, False, 0.0     # of what it bears, as queues grow with load
+        self.probing, self.sheds = False, False
         self.ears = {}              # event type -> Ear, no more than there are types
         self.pace, self.crowd = Tally(half=2 * WINDOW), 1.0     # mean answer time, usual own events out
         self.others, self.full, self.tight = Tally(), Tally(), -1e18   # as answers tell; when short of memory
@@ -105,7 +105,7 @@
         usual = self.gate.waited / FADED        # the mean answer time, as faded sums have it
         told = self.load() * self.gate.each / max(PATIENCE * self.gate.deed.target, 1.5 * usual)
         out = max(len(self.out) / t2, told) + self.full.read(self.gate.now)
-        self.sheds, self.used = out >= (0.6 if self.sheds else 1.0), out * t2 / (1 + out * t2) * (1 + t2) / t2
+        self.sheds = out >= (0.6 if self.sheds else 1.0)
         return self.sheds
 
     def back(self, launch, note, now):
--- a/cherrydoor/logic/zone.py
+++ b/cherrydoor/logic/zone.py
@@ -69,13 +69,13 @@
         return found
 
     def sites(self):
-        """What is held of each zone: (zone, events a second that go there, how busy it is, hosts that stand)."""
+        """What is held of each zone: (zone, events a second that go there, mean answer time, hosts that stand)."""
         found, now, gate = {}, self.gate.now, self.gate
         rate = 1000 * gate.handled.read(now) / (1.44 * WINDOW * max(1, len(self.slots)))
         for host in self.slots:
             found.setdefault(host.zone, []).extend([host] * (host.state == io.READY and host.shut <= now))
-        return [(zone, rate * len(hosts), sum(min(1.0, h.used) for h in hosts) / max(1, len(hosts)) or None,
-                 len(hosts)) for zone, hosts in found.items()]
+        return [(zone, rate * len(hosts), sum(h.mean() for h in hosts) / len(hosts) if hosts else None, len(hosts))
+                for zone, hosts in found.items()]
 
     def choose(self, evt):
         """The design's path, then its exceptions: the host, and one to order a copy at, if any."""
--- a/cherrydoor/site/conducting.py
+++ b/cherrydoor/site/conducting.py
@@ -9,7 +9,7 @@
 from cherrydoor.site import decide as d
 from cherrydoor.site.follow import called
 from cherrydoor.site.neighbours import FRESH, gathered_sites, room_of
-from cherrydoor.site.plan import REST, STEP, Lot, plan, stricter
+from cherrydoor.site.plan import REST, STEP, Lot, plan, scaled, stricter
 
 log = structlog.get_logger()
 
@@ -61,7 +61,7 @@
         return [report for at, report in self.heard.get(site, {}).values() if now - at <= FRESH]
 
     def sites(self, site):
-        return gathered_sites([[(one.site, one.rate, one.busy, one.hosts) for one in report.zones]
+        return gathered_sites([[(one.site, one.rate, one.took, one.hosts) for one in report.zones]
                                for report in self.fresh(site)])
 
     def lots(self, site):
@@ -78,8 +78,9 @@
         return list(sums.values()), list(copies)
 
     def planned(self, site, step):
-        lots, copies = self.lots(site)
-        room = room_of(self.sites(site), site)
+        (lots, copies), sites = self.lots(site), self.sites(site)
+        room = room_of(sites, site)
+        lots = scaled(lots, sites[site].rate if site in sites else 0.0)
         return plan(lots, 1e9 if room is None else room, step), lots, copies
 
     def conduct(self, site, number):
@@ -157,3 +158,15 @@
 def plain(versions):
     """How names of functions are read: versions of one go together where there are any."""
     return (lambda name: name) if versions is None else called
+
+
+def shown(one):
+    """A conductor's drain for people."""
+    watch = one.watch.reports.values()
+    return {"site": one.site, "number": one.number, "wave": one.wave, "state": one.state, "why": one.why,
+            "waves": len(one.waves), "known to be borne": one.plan.sure, "reached": one.at, "shed": one.shed,
+            "room": round(one.plan.room, 1), "asked": round(one.plan.asked, 1),
+            "within target before": one.fall.before, "neighbours standing": round(one.neighbours.standing(), 2),
+            "in hand": sum(r.in_hand for r in watch),
+            "in hand by hosts": sum(word.in_hand or 0 for word in one.leftover.words.values()),
+            "confirmed": sum(r.wave >= (one.number, one.wave) for r in watch)}
--- a/cherrydoor/site/decide.py
+++ b/cherrydoor/site/decide.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from cherrydoor.frames.site import Away, Copy, Wave
+from cherrydoor.site.falls import BLAMED, WATCHED, Fall
 from cherrydoor.site.follow import EMPTY
 from cherrydoor.site.leftover import Leftover
 from cherrydoor.site.neighbours import Neighbours
@@ -17,8 +18,7 @@
 
 CONFIRM = 5000.0        # ms after which a gateway that has not confirmed a wave is a straggler, and not waited for
 SETTLE = 1500.0         # ms for which a wave is watched before the next
-FALL = 0.05             # by which the share within target may fall, against before the drain
-PATIENCE = 8000.0       # ms of a fall after which the conductor steps back one wave
+CAREFUL = 3             # times as long where neighbours are not known to bear it: overload takes its time to show
 GATHER = 1500.0         # ms for which a new conductor listens before it plans
 WAVE = 2000.0           # ms that a wave takes where nothing holds it up: announced, confirmed, watched
 SAYS = 1000.0           # ms for which a host's word is waited for
@@ -53,7 +53,7 @@
         self.waves = [list(wave) for wave in plan.waves]
         self.watch, self.copies = Watch(), [Copy(name, host) for _, name, host in copies]
         self.openings = Openings(function for function, _, _ in copies)
-        self.before, self.since, self.fell, self.back = None, now, None, 0
+        self.since, self.fall, self.back, self.shed = now, Fall(), 0, list(last.shed) if last else []
         self.undone, self.step = last is not None and last.state == "undoing", last.step if last else STEP
         self.even = last is not None and last.even
         self.neighbours, self.leftover = Neighbours(site), Leftover(hosts)
@@ -89,8 +89,8 @@
         if do == "hold" and self.state in ("copies", "moving", "emptying"):
             self.state, self.why = "held", "by an operator"
             return [self.say("held")]
-        if do == "resume" and self.state == "held":
-            self.fell, self.back, self.why = None, 0, ""
+        if do == "resume" and (self.state == "held" or self.shed and self.state in EMPTY):
+            self.fall.since, self.back, self.why, self.shed = None, 0, "", []
             self.openings.without.update(self.openings.opening)
             return self.start(now)
         return self.undo(now) if do == "undo" and not self.undone else []
@@ -108,16 +108,16 @@
         for step in self.waves[self.at]:
             self.shares[step.function] = max(step.share, self.shares.get(step.function, 0.0))
         self.at += 1
-        if self.before is None:
-            self.before = self.watch.share(now - 60000.0)
+        if self.fall.before is None:
+            self.fall.before = self.watch.share(now - 60000.0)
         return self.announce(now, "moving")
 
     def announce(self, now, state):
-        self.wave, self.state, self.since, self.fell = self.wave + 1, "moving", now, None
+        self.wave, self.state, self.since, self.fall.since = self.wave + 1, "moving", now, None
         return [self.say(state)]
 
     def say(self, state):
-        shed = self.plan.shed if state in EMPTY else []
+        shed = self.shed if state in EMPTY else []
         away = [Away(name, share) for name, share in self.shares.items() if share > 0]
         return Say(Wave(self.site, self.number, self.wave, self.me, state, away, shed, self.copies, self.why,
                         self.step, self.even))
@@ -133,6 +133,8 @@
             return self.copies_stand(now)
         if self.state == "moving":
             return self.moved(now)
+        if self.state in EMPTY and self.worse(now):
+            return self.step_back(now)
         return self.emptied(now) if self.state == "emptying" else []
 
     def bereft(self, now):
@@ -173,19 +175,23 @@
         return late if now - self.since <= CONFIRM else []
 
     def moved(self, now):
-        if self.waited_for(now) or now - self.since < SETTLE:
+        settle = SETTLE * (CAREFUL if self.at > self.plan.sure and not self.undone else 1)
+        if self.waited_for(now) or now - self.since < settle:
             return []
-        share = self.watch.share(self.since + SETTLE / 2)
         if self.undone:
             return self.undo(now)
-        if share is not None and self.before is not None and share < self.before - FALL:
-            if self.fell is None:
-                self.fell = now
-                self.why = f"{share:.2f} within target, {self.before:.2f} before"
-            return self.step_back(now) if now - self.fell > PATIENCE else []
-        self.fell = None
+        if self.fall.seen(now, self.watch.share(self.since + SETTLE / 2)):
+            self.why = self.fall.why
+            return self.step_back(now) if self.fall.lasts(now) else []
         return self.go_on(now)
 
+    def worse(self, now):
+        """Whether what is within target has fallen for long since all went away, and something can be done about it."""
+        if now - self.since > BLAMED or not self.at or not (self.even or self.neighbours.takes_back()):
+            return False
+        found = self.fall.seen(now, self.watch.share(max(self.since + SETTLE / 2, now - WATCHED)))
+        return found and self.fall.lasts(now)
+
     def reached(self):
         """function -> share, by the waves that stand."""
         reached: dict = {}
@@ -195,18 +201,23 @@
         return reached
 
     def step_back(self, now):
-        """The last wave's steps are taken back; after three times it stands and says why."""
+        """The last wave's steps are taken back; after three times, or once all was away, it stands and says why. With
+        --even they and all below are shed instead, which ends the waves."""
+        ended, self.why = self.state in EMPTY, self.fall.why
         self.at, self.back = max(0, self.at - 1), self.back + 1
         self.shares = self.reached()
+        if self.even:
+            self.shed = list(dict.fromkeys(step.function for wave in self.waves[self.at:] for step in wave))
+            return self.emptying(now)
         actions = self.announce(now, "moving")
-        if self.back >= BACK:
+        if ended or self.back >= BACK:
             self.state = "held"
         return actions
 
     # ---- the end
     def emptying(self, now):
         """Everything is away that has room; what is shed is deferred from here on."""
-        self.wave, self.since, self.state = self.wave + 1, now, "emptying"
+        self.wave, self.since, self.state, self.fall.since = self.wave + 1, now, "emptying", None
         return [self.say("emptying")]
 
     def emptied(self, now):
@@ -237,12 +248,3 @@
         self.at = max(0, self.at - 1)
         self.shares = self.reached()
         return self.announce(now, "undoing")
-
-    def table(self):
-        return {"site": self.site, "number": self.number, "wave": self.wave, "state": self.state, "why": self.why,
-                "waves": len(self.waves), "reached": self.at, "shed": self.plan.shed,
-                "room": round(self.plan.room, 1), "asked": round(self.plan.asked, 1),
-                "within target before": self.before, "neighbours standing": round(self.neighbours.standing(), 2),
-                "in hand": sum(r.in_hand for r in self.watch.reports.values()),
-                "in hand by hosts": sum(one.in_hand or 0 for one in self.leftover.words.values()),
-                "confirmed": sum(r.wave >= (self.number, self.wave) for r in self.watch.reports.values())}
--- a/cherrydoor/site/neighbours.py
+++ b/cherrydoor/site/neighbours.py
@@ -1,8 +1,10 @@
 """What a drained site's neighbours bear, by what all gateways tell, and whether hosts of them are lost. Pure.
 
 Each gateway tells of each site how many hosts stand by its own launches, the events a second that go there from it and
-how busy it holds the hosts to be. Hosts are counted by the middle of all words, so that one gateway that is cut off, or
-blind, makes nobody think that a site is lost. Times are ms.
+how long answers take. Hosts are counted by the middle of all words, so that a gateway that is cut off, or blind, makes
+nobody think that a site is lost. What a host has at work follows from rate and time (Little), and from that the least
+that it can do: the time of one event, taken one by one, is its answer's time shared by what is there. A host of many
+cores can do more, which shows as it is given more; so this is what neighbours are *known* to bear. Times are ms.
 """
 
 from typing import NamedTuple
@@ -13,7 +15,7 @@
 
 
 class Site(NamedTuple):
-    """hosts that stand, events a second that go there, how busy they are: None where nothing tells it."""
+    """hosts that stand, events a second that go there, how busy they are at the most: None where nothing tells it."""
     hosts: int
     rate: float
     busy: float | None
@@ -28,21 +30,35 @@
     return sorted(values)[(len(values) - 1) // 2]
 
 
+def busy(rate, took, hosts):
+    """The share at the most of what hosts can do that they do: at work over one more than at work.
+
+    >>> busy(40.0, 50.0, 2), busy(40.0, None, 2)
+    (0.5, None)
+    """
+    if not hosts or not took:
+        return None
+    at_work = rate * took / 1000 / hosts
+    return at_work / (1 + at_work) or None
+
+
 def gathered_sites(rows):
-    """name -> Site of all gateways' words. rows: one list of (site, events a second, busy, hosts) a gateway.
+    """name -> Site of all gateways' words. rows: one list of (site, events a second, ms of an answer, hosts) a gateway.
 
-    >>> gathered_sites([[("a", 5.0, 0.5, 4)], [("a", 3.0, None, 4)], [("a", 1.0, 0.3, 0)]])
-    {'a': Site(hosts=4, rate=9.0, busy=0.4)}
+    >>> gathered_sites([[("a", 60.0, 50.0, 4)], [("a", 20.0, None, 4)], [("a", 0.0, 80.0, 0)]])
+    {'a': Site(hosts=4, rate=80.0, busy=0.5)}
     """
     told: dict = {}
     for one in rows:
-        for name, rate, busy, hosts in one:
-            told.setdefault(name, []).append((rate, busy, hosts))
+        for name, rate, took, hosts in one:
+            told.setdefault(name, []).append((rate, took, hosts))
     found = {}
     for name, words in told.items():
-        known = [busy for _, busy, _ in words if busy is not None]
-        found[name] = Site(middle([hosts for _, _, hosts in words]), sum(rate for rate, _, _ in words),
-                           sum(known) / len(known) if known else None)
+        hosts, rate = middle([hosts for _, _, hosts in words]), sum(rate for rate, _, _ in words)
+        known = [(rate, took) for rate, took, _ in words if took is not None and rate]
+        weight = sum(rate for rate, _ in known)
+        took = sum(rate * took for rate, took in known) / weight if weight else None
+        found[name] = Site(hosts, rate, busy(rate, took, hosts))
     return found
 
 
--- a/cherrydoor/site/plan.py
+++ b/cherrydoor/site/plan.py
@@ -3,11 +3,11 @@
 A *lot* is what calls of one function at the site come to, over all gateways. Lots move in order of what is lost if one
 of their events is served late, then of what moving costs: nothing where a matching copy stands elsewhere, else an
 order, a fetch and memory. A wave holds whole lots or a share of one, bounded by the share of the site's traffic, and by
-copies that are to be opened. What neighbours have no room for is the lowest, and is *shed*: deferred, so that nothing
-above it is.
+copies that are to be opened. What goes beyond the room that neighbours are known to have is the lowest, and goes last,
+in smaller waves: what then shows to find none is *shed*, deferred, so that nothing above it is.
 """
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 STEP = 0.25             # of the site's events a second that one wave moves at most
 COPIES = 4              # copies that one wave has opened at most: the store and cold memory bear so many at a time
@@ -48,10 +48,10 @@
 
 
 class Plan(Struct, frozen=True):
-    """waves: steps of each, shares counted from nothing; shed: functions whose sessions beyond their share are deferred
-    at the end; room, asked: in events a second."""
+    """waves: steps of each, shares counted from nothing; sure: how many of them neighbours are known to bear, those
+    beyond are smaller; room, asked: in events a second."""
     waves: list[list[Step]] = []
-    shed: list[str] = []
+    sure: int = 0
     room: float = 0.0
     asked: float = 0.0
 
@@ -61,8 +61,8 @@
         return max(0.0, self.asked - self.room)
 
     def refusal(self):
-        return (f"neighbours have room for {self.room:.1f} of {self.asked:.1f} events a second: "
-                f"{self.missing:.1f} are missing")
+        return (f"neighbours are known to bear {self.room:.1f} more of the {self.asked:.1f} events a second here: "
+                f"{self.missing:.1f} are missing; --even tries them last and defers what finds no room")
 
 
 def priority(lot):
@@ -70,6 +70,19 @@
     return -lot.benefit, not lot.hosts, -lot.rate, lot.function
 
 
+def scaled(lots, rate):
+    """So that they come to what goes to the site in all: a function's second worker may stand there, too, which no
+    gateway counts as a lot of the site.
+
+    >>> [lot.rate for lot in scaled([Lot("a", 3.0), Lot("b", 1.0)], 6.0)]
+    [4.5, 1.5]
+    """
+    total = sum(lot.rate for lot in lots)
+    if not total or total >= rate:
+        return lots
+    return [structs.replace(lot, rate=lot.rate * rate / total) for lot in lots]
+
+
 def gathered(lots):
     """Lots that are too small to stand by themselves go together as the rest, with the mean benefit."""
     total = sum(lot.rate for lot in lots)
@@ -91,30 +104,29 @@
     """
     ordered = gathered(lots)
     asked = sum(lot.rate for lot in ordered)
-    left, waves, shed = room, [], []
+    left, waves, sure = room, [], -1
     wave: list[Step] = []
     moved = opened = 0.0
     most = max(step * asked, 1e-9)
     for lot in ordered:
-        whole = min(1.0, left / lot.rate)
-        left -= whole * lot.rate
-        if whole < 1 - 1e-9:        # from here on nothing has room: no smaller lot below takes a higher one's place
-            shed.append(lot.function)
-            left = 0.0
         share = 0.0
-        while share < whole - 1e-9:
+        while share < 1 - 1e-9:
+            beyond = left <= 1e-9
             opens = not lot.hosts and not share
-            if moved >= most - 1e-9 or opens and opened >= copies:
+            if moved >= most - 1e-9 or opens and opened >= copies or beyond and sure < 0 and wave:
                 waves.append(wave)
                 wave, moved, opened = [], 0.0, 0.0
-            part = min(whole - share, (most - moved) / lot.rate)
+            if beyond and sure < 0:     # from here on it shows whether there is room: no smaller lot goes first
+                sure, most = len(waves), most / 2
+            part = min(1 - share, (most - moved) / lot.rate, 1.0 if beyond else left / lot.rate)
             share = min(1.0, share + part)
+            left -= part * lot.rate
             moved += part * lot.rate
             opened += opens
             wave.append(Step(lot.function, 1.0 if share > 1 - 1e-9 else share, opens, part * lot.rate))
     if wave:
         waves.append(wave)
-    return Plan(waves, shed, room, asked)
+    return Plan(waves, sure if sure >= 0 else len(waves), room, asked)
 
 
 def step_within(span, wave):
@@ -129,10 +141,10 @@
 
 
 def served(chosen, lots):
-    """Benefit a second of the lots that find room: what an order of priority is measured by.
+    """Benefit a second of the lots that are known to find room: what an order of priority is measured by.
 
     >>> served(plan([Lot("a", 1.0), Lot("b", 1.0, 5.0)], 1.0), [Lot("a", 1.0), Lot("b", 1.0, 5.0)])
     5.0
     """
-    shares = {step.function: step.share for wave in chosen.waves for step in wave}
+    shares = {step.function: step.share for wave in chosen.waves[:chosen.sure] for step in wave}
     return sum(lot.rate * lot.benefit * shares.get(lot.function, 0.0) for lot in gathered(lots))
--- a/cherrydoor/site/shell.py
+++ b/cherrydoor/site/shell.py
@@ -5,7 +5,7 @@
 
 from cherrydoor.frames import site as f
 from cherrydoor.site import follow as d
-from cherrydoor.site.conducting import Conducting, plain
+from cherrydoor.site.conducting import Conducting, plain, shown
 from cherrydoor.site.decide import GATHER, WAVE
 from cherrydoor.site.plan import NAMED, REST, step_within, stricter
 from cherrydoor.site.watch import pause
@@ -206,8 +206,10 @@
         self.heard.setdefault(site, {})[self.me] = self.now(), self.report(site, 0, 0)
         made, lots, _ = self.planned(site, step)
         by = {lot.function: lot for lot in lots}
-        return {"site": site, "asked": round(made.asked, 1), "room": round(made.room, 1), "shed": made.shed,
-                "missing": round(made.missing, 1), "refusal": made.refusal(), "told by": sorted(self.heard[site]),
+        return {"site": site, "asked": round(made.asked, 1), "room": round(made.room, 1),
+                "missing": round(made.missing, 1), "refusal": made.refusal(),
+                "beyond": list(dict.fromkeys(step.function for wave in made.waves[made.sure:] for step in wave)),
+                "told by": sorted(self.heard[site]),
                 "sites": {name: {"rate": round(one.rate, 1), "busy": one.busy, "hosts": one.hosts}
                           for name, one in self.sites(site).items()},
                 "waves": [[{"function": s.function or "(rest)", "share": round(s.share, 3), "opens": s.opens,
@@ -220,4 +222,4 @@
         if held:
             said["away"] = [[a.function or "(rest)", round(a.share, 3)] for a in held.away]
             said["copies"] = len(held.copies)
-        return {"site": site, **said, **({"conductor here": conductor.table()} if conductor else {})}
+        return {"site": site, **said, **({"conductor here": shown(conductor)} if conductor else {})}
