--- a/bench/drains.py
+++ b/bench/drains.py
@@ -1,5 +1,7 @@
 """A site drained in four ways, at three loads, emulated: `python -m bench.drains [GATEWAYS [LOAD,... [SEED,...]]]`.
 
+With a fourth word, sockets, it is played on sockets: hard and by priority, as the daemon has no other way.
+
 hard: its hosts are set to drain in the list at once, as without any of this. at once: one wave, its copies ordered
 first. random: waves in the order of a hash. priority: as the daemon does it. `load` is of what the hosts that remain
 can do. Each way has the same events and functions by seed. Printed, a line each: what is due to the benefit lost, the
@@ -17,6 +19,7 @@
 from cherrydoor.cli import logs
 from cherrydoor.emulator.play import emulate
 from cherrydoor.rehearsal.audit import Audit
+from cherrydoor.rehearsal.conduct import rehearse
 from cherrydoor.rehearsal.day import read_day
 from cherrydoor.site import conducting
 from cherrydoor.site import plan as planning
@@ -55,7 +58,7 @@
     return planning.plan(lots, room, 1.0, 10**9)
 
 
-def play(gateways, way, load, seed):
+def play(gateways, way, load, seed, on_sockets=False):
     hosts = 12 if gateways <= 8 else 24 if gateways <= 50 else 48
     rate = load * HOST * hosts * 2 / 3
     was = conducting.plan, planning.priority
@@ -69,7 +72,7 @@
             path.write_text(DAY % {
                 "length": LENGTH, "hosts": hosts, "functions": 4 * hosts, "rate": rate, "documents": 2 * hosts,
                 "gateways": gateways, "drain": DRAIN, "lasts": LENGTH - DRAIN, "size": 0.5 if way == "hard" else 2})
-            emulate(read_day(path, seed=seed), Path(folder) / "out")
+            (rehearse if on_sockets else emulate)(read_day(path, seed=seed), Path(folder) / "out")
             return figures(Audit(Path(folder) / "out"))
     finally:
         conducting.plan, planning.priority = was
@@ -96,13 +99,13 @@
             "said": next((why for _, _, why in sites if why), ""), "broken": len(found["broken"])}
 
 
-def main(gateways=50, loads="0.5,0.7,0.9", seeds="1,2"):
+def main(gateways=50, loads="0.5,0.7,0.9", seeds="1,2", sockets=""):
     logs.set_up("error")
     for load in map(float, loads.split(",")):
-        for way in ("priority", "hard", "at once", "random"):
+        for way in ("priority", "hard") if sockets else ("priority", "hard", "at once", "random"):
             for seed in map(int, seeds.split(",")):
                 print(json.dumps({"gateways": int(gateways), "load": load, "way": way, "seed": seed,
-                                  **play(int(gateways), way, load, seed)}), flush=True)
+                                  **play(int(gateways), way, load, seed, bool(sockets))}), flush=True)
 
 
 if __name__ == "__main__":
