A hold outlives its conductor, and its end orders copies that had not come to stand

Seen on reading: a hold, or a stand after three steps back, was said under the number of the wave before, so that nobody took it, and whoever conducted next went on against the operator's word (site/decide.py, operator and step_back). And resume went on without every copy that was being opened, not just those that had been given up on; the story let that pass with an or. Both now have their own line there.

--- a/cherrydoor/site/decide.py
+++ b/cherrydoor/site/decide.py
@@ -39,7 +39,7 @@
         """last: the highest Wave that anybody holds, None at the beginning; copies: [(function, the name that hosts
         know it by, host)] that stand."""
         self.site, self.number, self.me, self.plan, self.living = site, number, me, plan, living
-        self.wave, self.at, self.state, self.why = last.wave if last else 0, 0, "copies", ""
+        self.wave, self.at, self.state = last.wave if last else 0, 0, "copies"
         self.shares = {one.function: one.share for one in last.away} if last else {}
         self.waves = [list(wave) for wave in plan.waves]
         self.watch, self.copies = Watch(), [Copy(name, host) for _, name, host in copies]
@@ -47,7 +47,8 @@
         self.since, self.fall, self.back, self.shed = now, Fall(), 0, list(last.shed) if last else []
         self.watched, self.healing = now, 0.0           # since when a share counts; how long a step back takes to show
         self.undone, self.step = last is not None and last.state == "undoing", last.step if last else STEP
-        self.even = last is not None and last.even
+        self.even, self.held = last is not None and last.even, last is not None and last.state == "held"
+        self.why = last.why if last is not None and self.held else ""
         self.neighbours, self.leftover = Neighbours(site), Leftover(hosts)
         # never back: what nothing is steered to any more stays so, whatever the plan has found since
         while self.at < len(self.waves) and (last is not None and last.state in EMPTY or all(
@@ -58,6 +59,9 @@
     def start(self, now):
         if self.undone:
             return self.undo(now)
+        if self.held:           # an operator's word, or three falls, outlive the conductor that heard of them
+            self.held = False
+            return self.stand(self.why)
         return self.go_on(now)
 
     def followed(self, now, report):
@@ -75,12 +79,11 @@
         return self.tick(now)
 
     def operator(self, now, do):
-        if do == "hold" and self.state in ("copies", "moving", "emptying"):
-            self.state, self.why = "held", "by an operator"
-            return [self.say("held")]
+        if do == "hold" and self.state in ("copies", "moving"):
+            return self.stand("by an operator")
         if do == "resume" and (self.state == "held" or self.shed and self.state in EMPTY):
             self.fall.since, self.back, self.why, self.shed = None, 0, "", []
-            self.openings.without.update(self.openings.opening)
+            self.openings.go_without()
             return self.start(now)
         return self.undo(now) if do == "undo" and not self.undone else []
 
@@ -149,10 +152,7 @@
         if self.even:
             self.shed = list(dict.fromkeys(step.function for wave in self.waves[self.at:] for step in wave))
             return self.emptying(now)
-        actions = self.announce(now, "moving")
-        if ended or self.back >= BACK:
-            self.state = "held"
-        return actions
+        return self.stand(self.why) if ended or self.back >= BACK else self.announce(now, "moving")
 
     # ---- the end
     def emptied(self, now):
--- a/cherrydoor/site/opening.py
+++ b/cherrydoor/site/opening.py
@@ -19,7 +19,7 @@
 
     def __init__(self, stood):
         self.stood, self.without, self.opening, self.tried, self.off = set(stood), set(), {}, Counter(), {}
-        self.since = 0.0
+        self.since, self.stuck = 0.0, False
 
     def begin(self, now, wave):
         """Functions of which a copy is to be ordered now."""
@@ -59,4 +59,11 @@
         """Why the drain stands at its last wave, "" where it need not."""
         if not self.opening or now - self.since < GIVEN:
             return ""
+        self.stuck = True
         return f"no copy of {', '.join(self.opening)} stands after {GIVEN / 1000:g} s: resume goes on without"
+
+    def go_without(self):
+        """An operator goes on: without those that were given up on, if any."""
+        if self.stuck:
+            self.without.update(self.opening)
+        self.stuck = False
--- a/cherrydoor/site/waves.py
+++ b/cherrydoor/site/waves.py
@@ -68,6 +68,11 @@
         self.begin(now)
         return [self.say(state)]
 
+    def stand(self, why):
+        """No further wave until an operator says more; all hear of it, so that whoever conducts next stands as well."""
+        self.wave, self.state, self.why = self.wave + 1, "held", why
+        return [self.say("held")]
+
     def begin(self, now):
         """Something has changed: what is answered counts from when it can show."""
         self.since, self.fall.since = now, None
@@ -86,8 +91,7 @@
             self.waves[self.at:] = openings.put_off(name, self.waves[self.at:])
             self.why = f"put off, as no copy stands: {' '.join(openings.off)}"
         if last and (why := openings.given_up(now)):
-            self.state, self.why = "held", why
-            return [self.say("held")]
+            return self.stand(why)
         if openings.opening:
             return [Open(name) for name in again]
         return self.move(now) if self.waves[self.at] else self.skip(now)
--- a/tests/site/test_conductor.py
+++ b/tests/site/test_conductor.py
@@ -94,5 +94,8 @@
     play = Play()
     play.done(play.one.operator(1.0, "hold"))
     assert play.wave.state == "held" and not play.later(60000.0)
-    play.done(play.one.operator(play.now, "resume"))
-    assert play.opens == ["iron"] or play.wave.wave >= 1
+    after = Play(last=play.wave, number=2)
+    assert after.wave.state == "held" and after.wave.why == "by an operator" and not after.later(60000.0)
+    for held in (play, after):
+        held.done(held.one.operator(held.now, "resume"))
+        assert held.opens == ["iron"]
--- a/tests/site/test_room.py
+++ b/tests/site/test_room.py
@@ -113,7 +113,7 @@
     play.one.neighbours.heard(fleet(4))
     all_away(play)
     fallen(play, 0.8)
-    assert play.one.state == "held" and play.wave.state == "moving" and "before" in play.one.why
+    assert play.one.state == play.wave.state == "held" and "before" in play.one.why
     play = Play(hosts=["h8"])
     play.one.neighbours.heard(fleet(4))
     all_away(play)
