A keeper that hears a life grants nobody its estate, whatever is said of that life

At fault: custody/shell.py, refuses: a keeper that heard the giver a moment ago granted all the same while its table said 'vanished', which is what the witness tells again with each dial that is turned away, until the giver has answered it. Nothing ran twice, but a living gateway lost its clients.

Now a word of its own link within the time of silence counts, and only what is final stands above it.

--- a/cherrydoor/custody/decide.py
+++ b/cherrydoor/custody/decide.py
@@ -48,6 +48,17 @@
     return "dead-lettered", "it may have run; this gateway's life is over"
 
 
+def heard_here(recent, state):
+    """Why a keeper grants no estate of a life that it hears itself, "" where it may. recent: on a link of its own, of
+    late; state: as members tell it. Whoever asks has lost sight of that life alone, and says so again and again; that
+    stands until the life has answered, and counts for nothing here. What is final does.
+
+    >>> heard_here(True, "vanished"), heard_here(True, "left"), heard_here(False, "here")
+    ('this life is heard here', '', '')
+    """
+    return "this life is heard here" if recent and state not in ("left", "over") else ""
+
+
 # ---- what becomes of each event
 class Answer(Struct):
     """Its answer is known; nothing is run."""
--- a/cherrydoor/custody/shell.py
+++ b/cherrydoor/custody/shell.py
@@ -13,7 +13,6 @@
 from cherrydoor.frames import custody as c
 from cherrydoor.frames import messages as m
 from cherrydoor.frames import peers as p
-from cherrydoor.peers.decide import FINAL
 
 log = structlog.get_logger()
 LOOK = 0.05             # s between two looks at estates and claims
@@ -45,14 +44,12 @@
             self.timer.cancel()
 
     def refuses(self, task):
-        """A keeper grants no estate of a life that it hears itself, whatever others say of it: whoever asks has lost
-        sight of it alone. What is said of a life by whom it is cut off from comes again and again, and until the life
-        has answered it stands here as well."""
+        """A reason for a keeper not to grant an estate, "" for none."""
         kind, _, rest = task.partition("/")
         name, _, life = rest.rpartition("/")
-        here = kind == "estate" and self.peers.links.recent(name, int(life))
         row = self.peers.members.members.get(name)
-        return "this life is heard here" if here and row and row.state not in FINAL else ""
+        here = kind == "estate" and self.peers.links.recent(name, int(life))
+        return d.heard_here(here, row.state if row else "")
 
     # ---- the desk's port
     def taken(self, taken):
--- a/tests/custody/test_verdicts.py
+++ b/tests/custody/test_verdicts.py
@@ -207,3 +207,11 @@
     assert d.own_end(KINDS["file"], [])[0] == "deferred" and d.own_end(KINDS["draft"], ["x"])[0] == "deferred"
     assert d.own_end(KINDS["file"], ["x"])[0] == "dead-lettered"
     assert len({round(d.stay_away(3, n)) for n in range(50)}) > 40, "clients are not told to come back together"
+
+
+def test_a_keeper_that_hears_a_life_grants_nobody_its_estate_whatever_is_said_of_it():
+    """Seen: a witness cut off from one peer alone said again and again that it had vanished, and got its estate in the
+    moment before that peer's answer."""
+    for said in ("here", "silent", "vanished"):
+        assert d.heard_here(True, said) and not d.heard_here(False, said)
+    assert not d.heard_here(True, "left") and not d.heard_here(True, "over"), "those are its own word, or a host's"
