A drain asked for after an undo goes on; who knows no list calls no site empty

Now the old one is let go of first, and the delayed word knows which conductor it is for. A story in virtual time; red without either guard. * A gateway that conducts right after its start knows no host of the site, and 'all of none have nothing in hand' was true (leftover.py): it could have called a site empty that a cut-off gateway still sent to. Now it waits for its list. * All hosts of a site were asked twice a second at once: with 400 of them more connections than a gateway has descriptors. Now 32 within half a second, all in turn. * Reports were kept for any site that any peer named, whether conducted here or not; now for sites sought or conducted here. * Whether a drain is refused stood in two shells; it is Plan.refused now. A task of an estate whose life is no number, from a peer that lies, no longer raises in the keeper.

--- a/cherrydoor/custody/shell.py
+++ b/cherrydoor/custody/shell.py
@@ -48,7 +48,7 @@
         kind, _, rest = task.partition("/")
         name, _, life = rest.rpartition("/")
         row = self.peers.members.members.get(name)
-        here = kind == "estate" and self.peers.links.recent(name, int(life))
+        here = kind == "estate" and life.isdecimal() and self.peers.links.recent(name, int(life))
         return d.heard_here(here, row.state if row else "")
 
     # ---- the desk's port
--- a/cherrydoor/site/conducting.py
+++ b/cherrydoor/site/conducting.py
@@ -13,6 +13,7 @@
 from cherrydoor.site.waves import Open
 
 log = structlog.get_logger()
+LAST_WORD = 2.0         # s for which the tenure is kept after the last wave, so that all hear of it under its number
 
 
 class Conducting:
@@ -53,6 +54,7 @@
 
     def ended(self, site):
         self.conductors.pop(site, None)
+        self.heard.pop(site, None)
         if site in self.wanted:
             self.wanted[site] = None
 
@@ -89,7 +91,7 @@
         last = self.follower.drains[site]
         self.steps.pop(site, None)
         made, _, copies = self.planned(site, last.step)
-        if not last.wave and made.missing > 0 and not last.even:
+        if not last.wave and made.refused(last.even):
             log.warning("a drain is refused", gateway=self.me, site=site, missing=round(made.missing, 1))
             self.told("", f.Wave(site, number, 1, self.me, "over", why=made.refusal()))
             return self.let_go(site)
@@ -102,7 +104,9 @@
         self.carry_out(site, one.start(self.now()))
 
     def hosts(self, site):
-        """Of the list as it stands here, draining ones too."""
+        """Of the list as it stands here, draining ones too; None where there is none yet, as after a start."""
+        if not self.shell.desk.hosts:
+            return None
         return [host.id for host in self.shell.desk.hosts.values()
                 if host.row.zone == site and host.row.state != "gone"]
 
@@ -129,7 +133,7 @@
             else:
                 self.told("", action.wave)
                 if action.wave.state == "over":
-                    self.loop.call_later(2.0, self.let_go, site)
+                    self.loop.call_later(LAST_WORD, self.handed_over, site, conductor)
 
     def versions_of(self, function):
         """As this gateway calls the function by now."""
@@ -142,6 +146,11 @@
             word = (said.in_hand, said.came, said.by) if type(said) is c.Counted else None
             self.carry_out(site, conductor.counted(self.now(), host, word))
 
+    def handed_over(self, site, conductor):
+        """A while after its last word; another drain of the site may have been asked for here meanwhile."""
+        if self.conductors.get(site) is conductor:
+            self.let_go(site)
+
     def let_go(self, site):
         self.wanted.pop(site, None)
         self.steps.pop(site, None)
--- a/cherrydoor/site/leftover.py
+++ b/cherrydoor/site/leftover.py
@@ -7,6 +7,7 @@
 
 APART = 1000.0          # ms between the two words of a host
 AGAIN = 500.0           # ms after which a host is asked again
+AT_ONCE = 32            # hosts asked within that time: each may need a connection, and descriptors are few
 
 
 class Word:
@@ -17,16 +18,21 @@
 
 
 class Leftover:
-    """hosts(): names of the site's hosts in the list now, draining ones too."""
+    """hosts(): names of the site's hosts in the list now, draining ones too; None where no list is known here."""
 
     def __init__(self, hosts):
-        self.hosts, self.words = hosts, {}
+        self.hosts, self.words, self.known = hosts, {}, False
 
     def ask(self, now):
         """Hosts that are to be asked now; what is no longer listed is forgotten."""
         listed = self.hosts()
+        self.known = listed is not None
+        if listed is None:
+            return []
         self.words = {name: self.words.get(name) or Word() for name in listed}
-        due = [name for name in listed if now - self.words[name].asked >= AGAIN]
+        due = sorted((name for name in listed if now - self.words[name].asked >= AGAIN),
+                     key=lambda name: self.words[name].asked)[:AT_ONCE - (len(listed) - sum(
+                         now - one.asked >= AGAIN for one in self.words.values()))]
         for name in due:
             self.words[name].asked = now
         return due
@@ -47,11 +53,14 @@
         one.in_hand, one.came, one.by = in_hand, came, list(by)
 
     def empty(self, now):
-        """By the word of every host."""
-        return all(one.said and one.since is not None and now - one.since >= APART for one in self.words.values())
+        """By the word of every host. Who has no list knows of no host, and of none that is empty."""
+        return self.known and all(one.said and one.since is not None and now - one.since >= APART
+                                  for one in self.words.values())
 
     def why(self):
         """What it waits for, for people."""
+        if not self.known:
+            return "no list of hosts is known to who conducts"
         silent = [name for name, one in self.words.items() if not one.said]
         busy = [f"{name} has {one.in_hand} in hand, of {' '.join(one.by)}"
                 for name, one in self.words.items() if one.by]
--- a/cherrydoor/site/plan.py
+++ b/cherrydoor/site/plan.py
@@ -60,6 +60,10 @@
         """Events a second for which neighbours have no room."""
         return max(0.0, self.asked - self.room)
 
+    def refused(self, even):
+        """Whether nothing moves. even: an operator wants it tried all the same."""
+        return self.missing > 0 and not even
+
     def refusal(self):
         return (f"neighbours are known to bear {self.room:.1f} more of the {self.asked:.1f} events a second here: "
                 f"{self.missing:.1f} are missing; --even tries them last and defers what finds no room")
--- a/cherrydoor/site/shell.py
+++ b/cherrydoor/site/shell.py
@@ -118,6 +118,8 @@
         if report.to != self.me:
             self.peers.say(report.to, report)       # a keeper passes it on
             return
+        if report.site not in self.wanted:          # whoever conducts is another by now
+            return
         self.heard.setdefault(report.site, {})[report.gateway] = (self.now(), report)
         conductor = self.conductors.get(report.site)
         if conductor is not None:
@@ -188,9 +190,11 @@
             step = step_within(1000.0 * float(said.get("within") or 3600.0) - GATHER, WAVE)
             if step is None:
                 return {"error": f"a drain takes {(GATHER + WAVE) / 1000:g} s at the least: to listen, and a wave"}
-            made = self.dry(site, step)
-            if made["missing"] > 0 and not said.get("even"):
-                return {"error": made["refusal"]}
+            made = self.look_at(site, step)[0]
+            if made.refused(bool(said.get("even"))):
+                return {"error": made.refusal()}
+            if site in self.conductors:             # the one before is over, and its tenure still held
+                self.let_go(site)
             self.steps[site] = step, bool(said.get("even"))
             self.want(site)
             return self.table(site)
@@ -207,10 +211,14 @@
         if conductor is not None:
             self.carry_out(message.site, conductor.operator(self.now(), message.do))
 
+    def look_at(self, site, step):
+        """The plan by what this gateway knows now."""
+        self.heard.setdefault(site, {})[self.me] = self.now(), self.report(site, 0, 0)
+        return self.planned(site, step)
+
     def dry(self, site, step):
         """What would be done, by what this gateway knows alone, or as conductor by what all have told."""
-        self.heard.setdefault(site, {})[self.me] = self.now(), self.report(site, 0, 0)
-        made, lots, _ = self.planned(site, step)
+        made, lots, _ = self.look_at(site, step)
         by = {lot.function: lot for lot in lots}
         return {"site": site, "asked": round(made.asked, 1), "room": round(made.room, 1),
                 "missing": round(made.missing, 1), "refusal": made.refusal(),
--- a/tests/emulator/test_drains.py
+++ b/tests/emulator/test_drains.py
@@ -1,6 +1,8 @@
 """A site's drain in virtual time while pieces break: a store that stops, a site's own loss, a mass release."""
 
-from cherrydoor.emulator.play import emulate
+import asyncio
+
+from cherrydoor.emulator import play
 from cherrydoor.rehearsal.audit import Audit
 from cherrydoor.rehearsal.day import read_day
 
@@ -16,7 +18,7 @@
 
 def played(folder, said):
     """(the judge, its report, [(s, state, wave)] of the drain as gateways told it)."""
-    emulate(said, folder)
+    play.emulate(said, folder)
     judge = Audit(folder)
     found = judge.report()
     waves = [(round((row["t"] - judge.begun - judge.warm) / 1000, 1), row["fate"], row["number"])
@@ -69,3 +71,22 @@
     assert at_site(judge, at, 28.0) == 0
 
 
+class Again(play.Emulation):
+    """An operator who drains the site anew as soon as it is said to be given back."""
+
+    async def do_site(self, site, word):
+        await super().do_site(site, word)
+        if word == "drain":         # that one is over now
+            await self.ask({"do": "site", "what": "drain", "site": site, "even": True})
+            await asyncio.sleep(6.0)
+            said = await self.ask({"do": "site", "what": "show", "site": site})
+            self.record.add("site", fate=f"then {said['state']}", text=site, number=said["number"])
+
+
+def test_a_drain_asked_for_as_soon_as_the_last_is_over_goes_on(tmp_path, monkeypatch):
+    """Seen on reading: who had conducted the last one let go of its tenure later, and of the new one with it."""
+    monkeypatch.setattr(play, "Emulation", Again)
+    said = day()
+    said["troubles"][0]["lasts"] = 9000.0
+    judge, found, waves = played(tmp_path, said)
+    assert found["broken"] == [] and waves[-1][1] in ("then moving", "then emptying", "then empty")
--- a/tests/site/test_room.py
+++ b/tests/site/test_room.py
@@ -4,6 +4,7 @@
 
 from cherrydoor.frames.site import Wave
 from cherrydoor.site import decide as d
+from cherrydoor.site.leftover import AT_ONCE, Leftover
 from cherrydoor.site.neighbours import Site
 from cherrydoor.site.plan import Lot
 
@@ -170,3 +171,21 @@
     listed.remove("h9")
     play.word("h8", 0, 7)
     assert play.one.state == "empty"
+
+
+def test_who_knows_no_list_calls_no_site_empty():
+    """A gateway that has just started and conducts: it knows of no host there, which is not that there is none."""
+    listed = []
+    one = Leftover(lambda: listed or None)
+    assert one.ask(0.0) == [] and not one.empty(9000.0) and "no list" in one.why()
+    listed.append("h1")
+    assert one.ask(9000.0) == ["h1"] and not one.empty(9000.0)
+
+
+def test_few_hosts_are_asked_at_a_time_and_all_in_turn():
+    one, asked = Leftover(lambda: [f"h{i}" for i in range(100)]), []
+    for t in range(0, 2500, 10):
+        now = one.ask(float(t))
+        assert len(now) <= AT_ONCE
+        asked += now
+    assert len(asked) <= 6 * AT_ONCE and len(set(asked)) == 100
