What gateways tell of functions is merged by a pure rule, whose guards each have a red test

The merging stood in a shell (conducting.py, lots); it is plan.merged now, and both guards have a line that fails without them.

--- a/cherrydoor/site/conducting.py
+++ b/cherrydoor/site/conducting.py
@@ -9,7 +9,7 @@
 from cherrydoor.site import decide as d
 from cherrydoor.site.follow import called
 from cherrydoor.site.neighbours import FRESH, gathered_sites, room_of
-from cherrydoor.site.plan import REST, STEP, Lot, plan, scaled, stricter
+from cherrydoor.site.plan import REST, STEP, merged, plan, scaled
 from cherrydoor.site.waves import Open
 
 log = structlog.get_logger()
@@ -69,16 +69,7 @@
 
     def lots(self, site):
         """What all gateways told of its functions as one, versions of one together; [(function, version, host)]."""
-        sums: dict = {}
-        copies: dict = {}
-        for report in self.fresh(site):
-            for one in report.lots:
-                name = self.named(one.function)
-                was = sums.get(name) or Lot(name, 0.0, 0.0, one.kind)
-                sums[name] = Lot(name, one.rate + was.rate, max(one.benefit, was.benefit), stricter(one.kind, was.kind),
-                                 tuple(dict.fromkeys([*was.hosts, *one.hosts])), max(one.memory, was.memory))
-                copies.update(dict.fromkeys((name, one.function, host) for host in one.hosts))
-        return list(sums.values()), list(copies)
+        return merged((one for report in self.fresh(site) for one in report.lots), self.named)
 
     def planned(self, site, step):
         (lots, copies), sites = self.lots(site), self.sites(site)
--- a/cherrydoor/site/plan.py
+++ b/cherrydoor/site/plan.py
@@ -74,6 +74,20 @@
     return -lot.benefit, not lot.hosts, -lot.rate, lot.function
 
 
+def merged(told, named):
+    """(lots, [(function, the name that hosts know it by, host)]) of what all gateways told; named(name): the function
+    that a version is of. Sessions move by function, while a copy is of one version alone."""
+    sums: dict = {}
+    copies: dict = {}
+    for one in told:
+        name = named(one.function)
+        was = sums.get(name) or Lot(name, 0.0, 0.0, one.kind)
+        sums[name] = Lot(name, one.rate + was.rate, max(one.benefit, was.benefit), stricter(one.kind, was.kind),
+                         tuple(dict.fromkeys([*was.hosts, *one.hosts])), max(one.memory, was.memory))
+        copies.update(dict.fromkeys((name, one.function, host) for host in one.hosts))
+    return list(sums.values()), list(copies)
+
+
 def scaled(lots, rate):
     """So that they come to what goes to the site in all: a function's second worker may stand there, too, which no
     gateway counts as a lot of the site.
--- a/tests/site/test_waves.py
+++ b/tests/site/test_waves.py
@@ -1,13 +1,17 @@
 """A drain's waves: in which order lots move, who follows what, and when the conductor goes on."""
 
+from types import SimpleNamespace
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cherrydoor.frames.site import Away, Wave
+from cherrydoor.frames.site import Away, LotTold, Wave
+from cherrydoor.gateway.desk import Desk
 from cherrydoor.site import follow
+from cherrydoor.site.conducting import plain
 from cherrydoor.site.neighbours import Site, gathered_sites, room_of
-from cherrydoor.site.plan import REST, Lot, gathered, plan, served
+from cherrydoor.site.plan import REST, Lot, gathered, merged, plan, served
 
 LOTS = [Lot("gold", 10.0, 5.0, hosts=("h1",)), Lot("iron", 20.0, 1.0), Lot("lead", 10.0, 0.5, hosts=("h2",))]
 
@@ -59,6 +63,25 @@
     assert gathered_sites([blind, blind, well])["east"].hosts == 0
 
 
+def test_versions_of_a_function_move_as_one_and_copies_stay_each_versions_own():
+    told = [LotTold("deed@1", 2.0, hosts=["h1"]), LotTold("deed@2", 1.0, 3.0, "keyed", hosts=["h2"]),
+            LotTold("other", 1.0)]
+    lots, copies = merged(told, plain(object()))
+    assert [(lot.function, lot.rate, lot.benefit, lot.kind) for lot in lots] == [
+        ("deed", 3.0, 3.0, "keyed"), ("other", 1.0, 1.0, "redeliverable")]
+    assert copies == [("deed", "deed@1", "h1"), ("deed", "deed@2", "h2")]
+    assert [lot.function for lot in merged(told, plain(None))[0]] == ["deed@1", "deed@2", "other"], "no releases here"
+
+
+def test_a_release_loads_ahead_outside_a_site_whose_sessions_have_moved_as_well():
+    desk = SimpleNamespace(notes=[], site=SimpleNamespace(moving=lambda: ["s"]))
+    Desk.foreseen(desk, "deed@2")
+    assert [(note.function, note.away) for note in desk.notes] == [("deed@2", ""), ("deed@2", "s")]
+    desk.notes.clear()
+    Desk.foreseen(desk, "deed@2", "s")
+    assert [note.away for note in desk.notes] == ["s"], "a drain's own copy is wanted outside alone"
+
+
 # ---- those who follow
 def wave(number, of, state="moving", shed=(), **shares):
     return Wave("s", number, of, "c", state, [Away(k, v) for k, v in shares.items()], list(shed))
