An idempotency key passes on to hosts: requests of keyed classes were not sent as given

At fault: invoke.call_of read six headers and no X-Dedupe-Key, resp.execute had no field for it. Ruled out: the id, class, function and body, which the same line checks and which passed.

The header is read, bounded and kept free of the characters that part a host's fields; it goes on as the field nonce. Both tests were red without the change (no such attribute, no such field).

--- a/cherrydoor/codecs/invoke.py
+++ b/cherrydoor/codecs/invoke.py
@@ -22,8 +22,10 @@
 ID = re.compile(rb"[0-9a-f]{16}\Z")
 NAME = re.compile(rb"[!-~]{1,256}\Z")
 FIGURE = re.compile(rb"\d{1,9}(\.\d{1,9})?\Z")
+IDEMPOTENCY_KEY = re.compile(rb"[!-+.-<>-~-]{1,128}\Z")      # passed on as a host's field: no comma, no equals sign
 LEAST_LANES, MOST = 1.0, 1e7    # what a figure of X-Extras may be
-ONCE = {b"x-class", b"x-call-id", b"x-patience-ms", b"x-customer", b"x-extras", b"content-length", b"host"}
+ONCE = {b"x-class", b"x-call-id", b"x-patience-ms", b"x-customer", b"x-extras", b"x-dedupe-key", b"content-length",
+        b"host"}
 PHRASES = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 409: b"Conflict",
            411: b"Length Required", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
            501: b"Not Implemented", 502: b"Bad Gateway", 503: b"Service Unavailable",
@@ -32,7 +34,7 @@
 
 @dataclass(slots=True)
 class Call:
-    """An event as a client sent it, in full form. `figures` are its X-Extras."""
+    """An event as a client sent it, in full form. `figures` are its X-Extras, `idempotency_key` its X-Dedupe-Key."""
     id: str
     kind: str
     customer: str
@@ -40,6 +42,7 @@
     patience: float
     figures: dict = field(default_factory=dict)
     body: bytes = b""
+    idempotency_key: str = ""
 
 
 @dataclass(slots=True)
@@ -101,6 +104,9 @@
         return Bad(400, "X-Class names the event type")
     if b"x-customer" in said and not NAME.match(said[b"x-customer"]):
         return Bad(400, "X-Customer is no name")
+    idempotency_key = said.get(b"x-dedupe-key", b"")
+    if idempotency_key and not IDEMPOTENCY_KEY.match(idempotency_key):
+        return Bad(400, "X-Dedupe-Key: up to 128 printable characters, without commas and equals signs")
     patience = said.get(b"x-patience-ms", b"")
     if not FIGURE.match(patience) or not float(patience):
         return Bad(400, "X-Patience-Ms is a number of milliseconds above 0")
@@ -109,7 +115,7 @@
     except ValueError as error:
         return Bad(400, str(error))
     return Call(said[b"x-call-id"].decode(), said[b"x-class"].decode(), said.get(b"x-customer", b"").decode(),
-                path[1].decode(), float(patience), figures)
+                path[1].decode(), float(patience), figures, idempotency_key=idempotency_key.decode())
 
 
 @dataclass(slots=True)
--- a/cherrydoor/codecs/resp.py
+++ b/cherrydoor/codecs/resp.py
@@ -41,9 +41,11 @@
     return b"*%d\r\n" % len(words) + b"".join([b"$%d\r\n%b\r\n" % (len(word), word) for word in words])
 
 
-def execute(number, kind, function, limit, body):
-    """limit: ms that the gateway waits."""
+def execute(number, kind, function, limit, body, idempotency_key=""):
+    """limit: ms that the gateway waits. The client's idempotency key, where it gave one, passes on unchanged."""
     fields = f"cls={kind},item={function},limit={max(1, int(limit))}"
+    if idempotency_key:
+        fields += f",nonce={idempotency_key}"
     return command(b"exec", number.encode(), fields.encode(), body)
 
 
--- a/cherrydoor/platform/doors.py
+++ b/cherrydoor/platform/doors.py
@@ -166,7 +166,8 @@
             counts["bad calls: a known id"] += 1
             return end.reply(KNOWN, "X-Call-Id: known already", close=True)
         figures = note.figures
-        event = m.Event(int(note.id, 16), note.kind, note.function, note.patience, now, note.customer, "",
+        event = m.Event(int(note.id, 16), note.kind, note.function, note.patience, now, note.customer,
+                        note.idempotency_key,
                         figures.get("lanes", 0.0), figures.get("load_ms", 0.0), note.body)
         end.waits = event.id
         self.shell.post(self.came, end, event)
--- a/cherrydoor/platform/links.py
+++ b/cherrydoor/platform/links.py
@@ -37,7 +37,8 @@
         if kind is m.Launch:
             tag = f"{message.event:016x}"
             self.tags[tag] = message.id
-            data = resp.execute(tag, message.clause, message.function, message.limit, message.body)
+            data = resp.execute(tag, message.clause, message.function, message.limit, message.body,
+                                message.mark)
         elif kind is m.Recall:
             tag = next((tag for tag, number in self.tags.items() if number == message.id), "")
             if not tag:
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -39,6 +39,8 @@
     (call(ID, extra=("Transfer-Encoding: chunked",)) + b"5\r\nhello\r\n0\r\n\r\n", 400),
     (call(ID).replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"0\r\n\r\n", 411),
     (call(ID, extra=("X-Call-Id: 00000000000000ff",)), 400), (call(ID, extra=("X-Patience-Ms: 5",)), 400),
+    (call(ID, extra=("X-Dedupe-Key: a,limit=1",)), 400), (call(ID, extra=("X-Dedupe-Key: " + "k" * 129,)), 400),
+    (call(ID, extra=("X-Dedupe-Key: a", "X-Dedupe-Key: b")), 400),
     (call(ID).replace(b"Content-Length: 0", b"Content-Length: -1"), 400),
     (call(ID).replace(b"Content-Length: 0", b"Content-Length: 16385"), 413),
     (call(ID).replace(b"Content-Length: 0", b"Content-Length: 60000000"), 413),
@@ -145,6 +147,13 @@
      "lifecycle": "terminating", "weight": 4, "startedAtMs": 5}]}}
 
 
+def test_an_idempotency_key_passes_on_unchanged_and_its_absence_adds_no_field():
+    note = note_of(call(ID, extra=("X-Dedupe-Key: 41-7f:a/b",)))
+    assert note.idempotency_key == "41-7f:a/b" and note_of(call(ID)).idempotency_key == ""
+    assert b"limit=900,nonce=41-7f:a/b\r\n" in resp.execute(ID, "draft", FUNCTION, 900.0, b"", note.idempotency_key)
+    assert b"nonce" not in resp.execute(ID, "draft", FUNCTION, 900.0, b"")
+
+
 def test_bulletin_events_come_out_at_every_split_and_a_torn_one_does_not():
     text = HEAD + b": beat\n\nid: 41\ndata: " + json.dumps(EVENT).encode() + b"\n\nid: 42\ndata: {\"no\": 42"
     for step in (1, 3, len(text)):
--- a/tests/platform/test_in_service.py
+++ b/tests/platform/test_in_service.py
@@ -28,7 +28,10 @@
         fields = dict(pair.split(b"=") for pair in words[2].split(b","))
         assert words[1] == number.encode() and words[3] == body
         assert fields[b"cls"] == b"draft" and fields[b"item"] == FUNCTION.encode()
-        assert 0 < int(fields[b"limit"]) <= 2000
+        assert 0 < int(fields[b"limit"]) <= 2000 and b"nonce" not in fields
+    client.call(extra=("X-Dedupe-Key: pay-41",))
+    assert (await client.answer()).status == 200
+    assert b"nonce=pay-41" in host.commands(b"exec")[-1][2].split(b",")
 
 
 @story
