--- a/cherrydoor/codecs/invoke.py
+++ b/cherrydoor/codecs/invoke.py
@@ -14,7 +14,7 @@
 import h11
 
 LARGEST_HEAD, LARGEST_BODY = 8 * 1024, 16 * 1024
-MOST_AHEAD = 32 * 1024          # bytes pipelined behind an open event; beyond it reading has to pause
+MOST_AHEAD = 32 * 1024          # bytes pipelined behind an open event; see Conversation.overfull
 PATH = re.compile(rb"/call/([0-9a-f]{16})/sync\Z")
 PLAIN = re.compile(rb"(POST) (/call/[0-9a-f]{16}/sync) HTTP/(1\.1)\r\n"
                    rb"((?:[A-Za-z0-9-]{1,40}: [!-~]{1,300}\r\n){1,32})\r\n")
@@ -22,8 +22,10 @@
 ID = re.compile(rb"[0-9a-f]{16}\Z")
 NAME = re.compile(rb"[!-~]{1,256}\Z")
 FIGURE = re.compile(rb"\d{1,9}(\.\d{1,9})?\Z")
+IDEMPOTENCY_KEY = re.compile(rb"[!-+.-<>-~-]{1,128}\Z")      # passed on as a host's field: no comma, no equals sign
 LEAST_LANES, MOST = 1.0, 1e7    # what a figure of X-Extras may be
-ONCE = {b"x-class", b"x-call-id", b"x-patience-ms", b"x-customer", b"x-extras", b"content-length", b"host"}
+ONCE = {b"x-class", b"x-call-id", b"x-patience-ms", b"x-customer", b"x-extras", b"x-dedupe-key", b"content-length",
+        b"host"}
 PHRASES = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 409: b"Conflict",
            411: b"Length Required", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
            501: b"Not Implemented", 502: b"Bad Gateway", 503: b"Service Unavailable",
@@ -32,7 +34,7 @@
 
 @dataclass(slots=True)
 class Call:
-    """An event as a client sent it, in full form. `figures` are its X-Extras."""
+    """An event as a client sent it, in full form. `figures` are its X-Extras, `idempotency_key` its X-Dedupe-Key."""
     id: str
     kind: str
     customer: str
@@ -40,6 +42,7 @@
     patience: float
     figures: dict = field(default_factory=dict)
     body: bytes = b""
+    idempotency_key: str = ""
 
 
 @dataclass(slots=True)
@@ -101,6 +104,9 @@
         return Bad(400, "X-Class names the event type")
     if b"x-customer" in said and not NAME.match(said[b"x-customer"]):
         return Bad(400, "X-Customer is no name")
+    idempotency_key = said.get(b"x-dedupe-key", b"")
+    if idempotency_key and not IDEMPOTENCY_KEY.match(idempotency_key):
+        return Bad(400, "X-Dedupe-Key: up to 128 printable characters, without commas and equals signs")
     patience = said.get(b"x-patience-ms", b"")
     if not FIGURE.match(patience) or not float(patience):
         return Bad(400, "X-Patience-Ms is a number of milliseconds above 0")
@@ -109,7 +115,7 @@
     except ValueError as error:
         return Bad(400, str(error))
     return Call(said[b"x-call-id"].decode(), said[b"x-class"].decode(), said.get(b"x-customer", b"").decode(),
-                path[1].decode(), float(patience), figures)
+                path[1].decode(), float(patience), figures, idempotency_key=idempotency_key.decode())
 
 
 @dataclass(slots=True)
@@ -151,15 +157,20 @@
         self.http: Any = None   # made for the first that is not plain
         self.note, self.body, self.open, self.bad, self.held, self.reply = None, [], False, False, 0, b""
         self.plain = False      # the open event was read here: h11 has seen nothing of it
+        self.overfull = False   # more was pipelined than is held: the rest is dropped, and the connection closes
+                                # with the open event's answer. It is read on, as its end tells that the client left
 
     def feed(self, data):
         """Call, Ping or Bad, or None while nothing is whole. Bytes to be sent at once are left in `reply`."""
-        if self.bad:
+        if self.bad or self.overfull:
             return None
         if not self.open and not self.held and (note := plain(data)):
             self.open = self.plain = True
             return note
         self.held += len(data)
+        if self.open and self.held > MOST_AHEAD:
+            self.overfull = True
+            return None
         self.http = self.http or h11.Connection(h11.SERVER, max_incomplete_event_size=LARGEST_HEAD)
         try:
             if data:
@@ -193,13 +204,9 @@
         self.bad = self.open = True
         return Bad(status if status in PHRASES else 400, reason[:200])
 
-    def full(self):
-        """More is pipelined than is held; reading has to rest until the answer."""
-        return self.open and self.held > MOST_AHEAD
-
     def answer(self, status, body=b"", come_back=None, close=False):
         """(bytes, whether the connection closes after them): the one answer that is owed."""
-        close = close or self.bad
+        close = close or self.bad or self.overfull
         self.open = False
         if self.plain and not close:
             self.plain = False
