Groups of second workers end at the number of gateways: a lasting crowd overflowed them

At fault: Function.told. The work at once is the crowd times the groups that share it; where the crowd stays beyond half of a copy's lanes, each answer doubles the groups, and a thousand answers make a number that is no float any more. Ruled out: the wire (a crowd is 30 at most) and lanes (at least 1).

More groups than gateways fold to the same second workers, so the doubling ends there. The story of 1,200 answers was red with the overflow.

--- a/cherrydoor/logic/gateway.py
+++ b/cherrydoor/logic/gateway.py
@@ -52,7 +52,7 @@
 
     def arrival(self, note):
         name = note.function
-        func = self.history.functions[name] = self.history.functions.get(name) or Function(name, self.deed.me)
+        func = self.history.functions[name] = self.history.functions.get(name) or Function(name, self.deed)
         customer = self.deed.customers.get(note.party, self.others)
         evt = self.events[note.event] = Event(note, self.deed.clauses[note.clause], func, customer)
         func.open, func.lanes = func.open + 1, max(1, int(note.lanes))
@@ -64,7 +64,7 @@
     def foreseen(self, note):
         """Exception: a copy is ordered at the home before the first event, by the same gate as all orders."""
         name = note.function
-        func = self.history.functions[name] = self.history.functions.get(name) or Function(name, self.deed.me)
+        func = self.history.functions[name] = self.history.functions.get(name) or Function(name, self.deed)
         func.count = max(1.0, func.count)       # so that the line outlives the load
         home = self.zone.heir(func.home, lambda h: func.refused.get(h, 0) <= self.now and (
             not note.away or h.zone != note.away))
--- a/cherrydoor/logic/table.py
+++ b/cherrydoor/logic/table.py
@@ -13,8 +13,9 @@
 class Function:
     """A line of the History Table: the function's places, how much it is called, where copies stand."""
 
-    def __init__(self, name, me):
-        self.name, self.me, self.count, self.open, self.home = name, me, 0.0, 0, self.place(name)
+    def __init__(self, name, deed):
+        self.name, self.me, self.most = name, deed.me, deed.gateways    # no more groups than would differ
+        self.count, self.open, self.home = 0.0, 0, self.place(name)
         self.work, self.lanes, self.groups = Tally(), 1, 1
         self.copies = {}        # host -> when a copy was last known to stand; History.window drops the old
         self.opening = {}       # host -> since when a load begun by this gateway is waited for
@@ -43,7 +44,7 @@
         self.copies[host] = now
         self.work.mean(now, own if crowd is None else crowd * (1 + self.groups), 0.2, self.work.value)
         need = 2 * self.work.value / self.lanes
-        while self.groups < need:
+        while self.groups < min(need, self.most):
             self.groups *= 2
         if need < self.groups / 4 and self.groups > 1:
             self.groups //= 2
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -22,6 +22,14 @@
     assert len(places) > 4
 
 
+def test_a_crowd_that_stays_beyond_its_lanes_makes_no_more_groups_than_gateways_could_form():
+    fleet = Fleet(gateways=10)
+    fleet.crowd = 30
+    for _ in range(1200):
+        fleet.handle(later=0.1)
+    assert 10 <= fleet.gate.history.functions["deed"].groups < 20
+
+
 def test_where_no_copy_is_told_a_load_does_not_pass_for_a_slow_host():
     fleet = Fleet()
     home = fleet.gate.hosts[untold(fleet, None, "deed", took=2000.0)]
