Settings of other customers are checked key by key: zero, null or absent ends in no fault

At fault: Station.settings checked prices.handshake alone; wire.lease_of and Terms took the rest as it stood.

platform/settings.py reads each once: absent and null are not stated, nor is a 0 that no gateway could go by (a class without a target has its deadline for one; without a multiple cold hosts have no limit); what cannot be used is told with its place, at start and at SIGHUP. The story of a missing `aim` now asks for the missing deadline with its whole place, as a missing target is no error any more.

--- a/cherrydoor/platform/configuration.py
+++ b/cherrydoor/platform/configuration.py
@@ -6,6 +6,7 @@
 from cherrydoor.admission.decide import Manners, seats
 from cherrydoor.codecs import sse
 from cherrydoor.gateway.turn import address
+from cherrydoor.platform.settings import Wrong, checked, need, number
 
 RESERVE = 12                # descriptors of the process itself: listener, bulletin, loop, what it reads of its use
 SPARE = 5.0                 # ms taken off each event's time, for the answer's way back; some clients wait for 100
@@ -15,15 +16,6 @@
 FARTHEST = 4                # times its longest time that a client may say it waits
 
 
-class Wrong(Exception):
-    """What is wrong with the configuration, with the key's place."""
-
-
-def need(good, place, expected, found):
-    if not good:
-        raise Wrong(f"{place}: {expected} expected, not {str(found)[:80]!r}")
-
-
 def place_of(text, place):
     """An address:port, as text."""
     need(isinstance(text, str) and text.rpartition(":")[0], place, "an address:port", text)
@@ -35,13 +27,6 @@
     return text
 
 
-def number(said, name, place, least):
-    value = said.get(name)
-    need(isinstance(value, int | float) and not isinstance(value, bool) and least <= value < 1e12,
-         f"{place}.{name}", f"a number of at least {least:g}", value)
-    return value
-
-
 class Terms:
     """What bounds the desk, by the names that gateway/desk.py goes by. One launch a connection while there are
     connections left, and where a handshake has a price, while what the host has carried bears it: what spoils one then
@@ -82,23 +67,20 @@
         self.settings(said.get("settings"), int(seed, 16), sockets)
 
     def settings(self, said, seed, sockets):
-        need(isinstance(said, dict), "settings", "an object", said)
+        said = checked(said)
         try:
             self.lease = wire.lease_of(seed, said)
-            self.customers = frozenset(one["name"] for one in said.get("tenants") or ())
+            self.customers = frozenset(one["name"] for one in said["tenants"])
         except KeyError as error:
             raise Wrong(f"settings: {error} is missing") from None
         except (TypeError, ValueError, AttributeError, wire.BadLine) as error:
             raise Wrong(f"settings: {error}") from None
-        prices = said.get("prices", {})
-        need(isinstance(prices, dict), "settings.prices", "an object", prices)
-        handshake = number({"handshake": 0.0} | prices, "handshake", "settings.prices", 0.0)
-        need(self.lease.clauses, "settings.requestClasses", "at least one", "none")
+        handshake = said["prices"].get("handshake", 0.0)
         self.longest = max(clause.max_age for clause in self.lease.clauses)
         self.patience = FARTHEST * self.longest
         places, porch, _ = seats(sockets, RESERVE, 1)
         self.descriptors = sockets
-        self.terms = Terms(said.get("permissions", {}), said.get("familyInfo", {}), handshake, 1,
+        self.terms = Terms(said["permissions"], said["familyInfo"], handshake, 1,
                            (self.lease.tells_copy, self.lease.tells_crowd))
         self.fit(sum(row.state != sse.GONE for row in self.known_rows()))
         self.manners = Manners(places, (), 1e6, 1e6, 1e6, 1e6, SILENT, SILENT, IDLE, stranger_bytes=8 << 20,
--- a/tests/platform/test_in_service.py
+++ b/tests/platform/test_in_service.py
@@ -380,7 +380,8 @@
                                                                "limits.sockets"),
     ({"known": {"no": 1}}, "known.items"), ({"bulletin": ""}, "bulletin"), ({"settings": {}}, "settings"),
     ({"settings": SETTINGS | {"prices": {"handshake": "dear"}}}, "settings.prices.handshake"),
-    ({"settings": {"me": 0, "instances": 1, "requestClasses": [{"name": "draft"}]}}, "settings: 'aim' is missing")])
+    ({"settings": {"me": 0, "instances": 1, "requestClasses": [{"name": "draft"}]}},
+     r"settings.requestClasses\[0\].deadline: a number of at least 1 expected")])
 def test_a_wrong_configuration_ends_the_start_with_the_keys_place(changed, place):
     said = {"name": "n1", "listen": "127.0.0.1:1", "seed": "8c", "bulletin": "127.0.0.1:2",
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "known": {"no": 0, "items": []},
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,101 @@
+"""Settings of other customers: each one absent, renamed, null, zero or of another type ends in an error that names its
+place or in a gateway that serves; none in a fault, and none in a gateway that serves nobody."""
+
+import copy
+
+import pytest
+from town import FUNCTION, SETTINGS
+
+from cherrydoor.frames import messages as m
+from cherrydoor.gateway.books import Client
+from cherrydoor.gateway.desk import Desk
+from cherrydoor.logic import Gateway
+from cherrydoor.platform import configuration
+
+STATED = copy.deepcopy(SETTINGS) | {"prices": {"handshake": 0.1}, "zones": ["east"]}
+STATED["requestClasses"][0] |= {"dedupScope": "all", "dedupWindow": 4000000}
+STATED["familyInfo"] |= {"loadsAnyway": 4, "loadPart": 0.2, "loadsWithin": 5000000}
+ABSENT, RENAMED = object(), object()
+MADE = (ABSENT, RENAMED, None, 0, -1, "text", [], {}, float("inf"))
+
+
+def places(said, before=()):
+    """The place of each setting, as keys and positions."""
+    for key, value in said.items() if isinstance(said, dict) else enumerate(said):
+        yield (*before, key)
+        if isinstance(value, dict | list):
+            yield from places(value, (*before, key))
+
+
+def changed(place, value):
+    said = copy.deepcopy(STATED)
+    holder = said
+    for key in place[:-1]:
+        holder = holder[key]
+    if value is ABSENT or value is RENAMED:
+        old = holder.pop(place[-1])
+        if value is RENAMED and isinstance(holder, dict):
+            holder[f"other{place[-1]}"] = old
+    else:
+        holder[place[-1]] = value
+    return said
+
+
+def station(settings):
+    return configuration.Station({
+        "name": "n1", "listen": "127.0.0.1:1", "seed": "8c", "bulletin": "127.0.0.1:2", "settings": settings,
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "known": {"no": 0, "items": []}}, None, 1024)
+
+
+class HostWire:
+    """Answers each launch at once."""
+
+    def __init__(self, desk, link):
+        self.desk, self.link = desk, link
+
+    def write(self, message):
+        if type(message) is m.Launch:
+            self.desk.post(self.desk.heard, self.link, m.Outcome(message.id, "handled", 1, 2, None, b""))
+
+    def close(self, reason):
+        pass
+
+
+class ClientWire:
+    def __init__(self):
+        self.answers = []
+
+    def write(self, message):
+        self.answers.append(message.fate)
+
+
+def answers_of(found, kind):
+    """What 40 events get of a gateway with these settings, between two warm hosts and a cold one."""
+    dialled, wire = [], ClientWire()
+    desk = Desk(Gateway(found.lease), found.terms, dialled.append, 1000.0)
+    desk.post(desk.listed, "whole", [m.Row(name, "ready", since, "east", 0) for name, since in
+                                     (("a", 0.0), ("b", 0.0), ("c", 900.0))])
+    client = Client(wire)
+    for number in range(40):
+        now = 1000.0 + 50 * number
+        desk.post(desk.came, client, m.Event(number, kind, FUNCTION, 2000.0, now, "acme", "", 4.0, 200.0, b""))
+        desk.turn(now)
+        for link in dialled:
+            desk.post(desk.linked, link, HostWire(desk, link))
+        dialled.clear()
+        desk.turn(now + 5)
+        desk.turn(now + 10)
+    return wire.answers
+
+
+@pytest.mark.parametrize("place", list(places(STATED)), ids=lambda place: ".".join(map(str, place)))
+def test_a_setting_that_is_not_as_expected_is_told_with_its_place_or_the_gateway_serves(place):
+    for value in MADE:
+        settings = changed(place, value)
+        try:
+            found = station(settings)
+        except configuration.Wrong as error:
+            names = [key for key in place if isinstance(key, str)]
+            assert str(error).startswith("settings") and any(name in str(error) for name in names), error
+            continue
+        assert answers_of(found, found.lease.clauses[0].name).count("handled") >= 30, (place, value)
