Lag of a short core is forgotten by time and counted for reading and telling late

The lag that deadlines are shortened by faded by turns, 1 % each: with 500 turns a second a stall was forgotten in a quarter of a second. And it was counted once, though an event that lies unread for it is read late and then told late.

Now it halves in 2 s and counts twice, a quarter of the event's time at most as before.

--- a/cherrydoor/gateway/alarms.py
+++ b/cherrydoor/gateway/alarms.py
@@ -3,7 +3,7 @@
 from heapq import heappop, heappush
 from typing import Any
 
-BEHIND_FADES = 0.99     # a turn: how late alarms were told is held against them for some hundred turns
+BEHIND_HALF = 2000.0    # ms after which half of how late alarms were told is forgotten
 
 
 class Alarms:
@@ -28,12 +28,12 @@
 
     def turn(self, now):
         """One now for everything that has come in. What has come goes before what has run out of time."""
+        self.behind *= 0.5 ** (max(0.0, now - self.now) / BEHIND_HALF)
         self.now = now = max(now, self.now)
         inputs, self.inputs = self.inputs, []
         for what, args in inputs:
             what(*args)
         self.tell()
-        self.behind *= BEHIND_FADES
         while self.alarms and self.alarms[0][0] <= now:
             at, _, what, args = heappop(self.alarms)
             self.behind = max(self.behind, now - at)
--- a/cherrydoor/gateway/desk.py
+++ b/cherrydoor/gateway/desk.py
@@ -55,7 +55,7 @@
     def came(self, client, event):
         """An event is taken here, or refused untaken: known by its id already, past its time, or over a bound."""
         ends = self.now + event.lasts - client.late(event.sent, self.now)
-        until = ends - self.terms.spare - min(self.behind, MOST_BEHIND * event.lasts)
+        until = ends - self.terms.spare - min(2 * self.behind, MOST_BEHIND * event.lasts)   # read late, and told late
         if event.id in client.open:
             self.counts["event ids doubled"] += 1
         elif ends <= self.now:
