What a connection waited to be accepted is taken off its first request's time

What waits is the kernel's queue: hundreds of connections come in one moment, eight are taken in a pass, and a request that came at once lies there uncounted; its time ran from its last byte, ours from when it was read.

The listener knows since when more wait than a pass takes in; that much is taken off the first request of each connection accepted meanwhile. It may be too much for a client that sends late, never too little.

--- a/cherrydoor/admission/listener.py
+++ b/cherrydoor/admission/listener.py
@@ -14,7 +14,7 @@
 from cherrydoor.admission import decide as d
 from cherrydoor.frames import codec
 from cherrydoor.frames import messages as m
-from cherrydoor.gateway.sockets import after_input
+from cherrydoor.gateway.sockets import after_input, has_pending_connection
 
 NO_DESCRIPTORS = {errno.EMFILE, errno.ENFILE}
 NO_ROOM = NO_DESCRIPTORS | {errno.ENOBUFS, errno.ENOMEM}
@@ -113,6 +113,7 @@
 
     def __init__(self, hall, listener, sock, address, now):
         self.hall, self.listener, self.sock, self.end, self.task = hall, listener, sock, None, None
+        self.waited = now - listener.since if listener.since is not None else 0.0   # ms to be accepted, at most
         self.caller = d.Caller(address, now, self)
 
     def let_in(self):
@@ -167,6 +168,7 @@
 
     def __init__(self, hall, where, make, context=None, backlog=BACKLOG, word=word_of):
         self.hall, self.make, self.context, self.resting, self.word_of = hall, make, context, None, word
+        self.since = None           # since when more wait to be accepted than one pass takes in
         host, port = where
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self.sock: socket.socket | None = socket.socket(family, socket.SOCK_STREAM)
@@ -185,8 +187,15 @@
 
     def ready(self, most=AT_ONCE):
         for _ in range(most):
-            if self.resting is not None or not self.accept():
+            if self.resting is not None:
+                return
+            if not self.accept():
+                self.since = None
                 return
+        if not has_pending_connection(self.sock):
+            self.since = None
+        elif self.since is None:
+            self.since = self.hall.clock.now()
 
     def accept(self):
         """Takes in one connection; whether another may wait."""
--- a/cherrydoor/gateway/sockets.py
+++ b/cherrydoor/gateway/sockets.py
@@ -9,14 +9,21 @@
     """Those of the wanted poll events that hold now; asks the kernel and does not wait. None on a transport that has
     no socket, as in the emulator."""
     sock = transport.get_extra_info("socket")
-    if sock is None:
-        return 0
+    return descriptor_events(sock.fileno(), wanted) if sock is not None else 0
+
+
+def descriptor_events(descriptor, wanted):
     poll = select.poll()
-    poll.register(sock.fileno(), wanted)
+    poll.register(descriptor, wanted)
     found = poll.poll(0)
     return found[0][1] if found else 0
 
 
+def has_pending_connection(listening):
+    """Whether a connection waits to be accepted on a listening socket."""
+    return bool(descriptor_events(listening.fileno(), select.POLLIN))
+
+
 def peer_closed(transport):
     """Whether the other end has closed, half-closed or reset, also behind data that has not been read."""
     return transport.is_closing() or bool(ready_events(transport, select.POLLRDHUP) & PEER_CLOSED)
--- a/cherrydoor/platform/doors.py
+++ b/cherrydoor/platform/doors.py
@@ -181,7 +181,9 @@
             counts["bad calls: a known id"] += 1
             return end.reply(KNOWN, "X-Call-Id: known already", close=True)
         figures = note.figures
-        event = m.Event(int(note.id, 16), note.kind, note.function, note.patience, now, note.customer,
+        # A client sends as soon as the kernel has accepted it: what it waited for us until then is of its time.
+        lasts, end.arrival.waited = max(1.0, note.patience - end.arrival.waited), 0.0
+        event = m.Event(int(note.id, 16), note.kind, note.function, lasts, now, note.customer,
                         note.idempotency_key,
                         figures.get("lanes", 0.0), figures.get("load_ms", 0.0), note.body)
         end.waits = event.id
--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -265,6 +265,23 @@
     end.transport.resume_reading()
 
 
+@story
+async def test_what_a_connection_waited_to_be_accepted_is_taken_off_its_first_requests_time(town):
+    platform = await town.start_within()
+    town.hosts[0].answers = lambda words: None
+    clients = [RawClient(town) for _ in range(4)]
+    for client in clients:
+        client.call()
+    [listener] = platform.hall.listeners
+    listener.ready(2)                       # as many as a pass takes in; two more wait
+    later = platform.clock.now() + 400
+    platform.clock.now = lambda: later
+    listener.ready(2)
+    assert listener.since is None, "nobody waits any more, though a whole pass was taken in"
+    await until(lambda: len(platform.desk.taken) == 4)
+    assert [round((taken.until - taken.at) / 100) for taken in platform.desk.taken.values()] == [20, 20, 16, 16]
+
+
 # ---- the list
 @story
 async def test_a_bulletin_that_leaves_out_a_number_is_asked_for_it(town):
