--- a/cherrydoor/admission/listener.py
+++ b/cherrydoor/admission/listener.py
@@ -3,13 +3,9 @@
 
 import asyncio
 import errno
-import os
-import resource
 import socket
 import ssl
-import time
 from functools import lru_cache
-from typing import Any
 
 from cherrydoor.admission import decide as d
 from cherrydoor.frames import codec
@@ -20,7 +16,6 @@
 NO_ROOM = NO_DESCRIPTORS | {errno.ENOBUFS, errno.ENOMEM}
 AT_ONCE = 8                 # accepted in one pass of the loop: what is due is then not kept waiting by a crowd
 BACKLOG = 1024              # connections that the kernel accepts for us until we do
-CHUNK = 16 * 1024           # bytes read from one client in one pass, so that all have their turn
 
 
 def logged(event, **said):
@@ -34,80 +29,6 @@
     return codec.encode(m.Fault(reason, stay_away))
 
 
-class Uses:
-    """What this process has in use, measured: descriptors, memory, the core. One for all gateways of a process.
-
-    A descriptor is held spare, to be let go where one is missing for a host."""
-
-    def __init__(self, memory=2 * 2**30):
-        self.memory, self.page = memory, os.sysconf("SC_PAGE_SIZE")
-        self.spare: int | None = os.open(os.devnull, os.O_RDONLY)
-        self.limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        self.files = {name: self.opened(f"/proc/thread-self/{name}") for name in ("schedstat", "statm")}
-        self.at, self.ran, self.last, self.counted, self.descriptors = time.monotonic(), self.core(), None, 0.0, 0
-
-    def opened(self, path):
-        try:
-            return os.open(path, os.O_RDONLY)
-        except OSError:
-            return None
-
-    def used(self):
-        """Descriptors open now; the limit where even that cannot be found out."""
-        try:
-            return len(os.listdir("/proc/self/fd")) - 1
-        except OSError:
-            return self.limit
-
-    def core(self):
-        """Seconds that this thread ran or waited for a core, by the system's own count where it has one."""
-        if self.files.get("schedstat") is not None:
-            ran, waited, _ = os.pread(self.files["schedstat"], 64, 0).split()
-            return (int(ran) + int(waited)) / 1e9
-        return time.thread_time()
-
-    def measure(self):
-        """A note for the guard; those who ask within the same moment get the same one."""
-        t = time.monotonic()
-        if self.last is not None and t - self.at < 0.05:
-            return self.last
-        ran = self.core()
-        busy = min(1.0, (ran - self.ran) / max(1e-3, t - self.at))
-        self.at, self.ran = t, ran
-        if t - self.counted > 0.5:
-            self.counted, self.descriptors = t, self.used()
-        self.last = d.Measured(self.descriptors / self.limit, self.measure_held() / self.memory, busy)
-        return self.last
-
-    def measure_held(self):
-        """Bytes of memory; 0 where the system does not tell."""
-        if self.files.get("statm") is None:
-            return 0
-        return int(os.pread(self.files["statm"], 128, 0).split()[1]) * self.page
-
-    def let_go(self):
-        """The spare one, if it is still held; True where there was one to give."""
-        if self.spare is None:
-            return False
-        os.close(self.spare)
-        self.spare = None
-        return True
-
-    def take_back(self):
-        if self.spare is None:
-            try:
-                self.spare = os.open(os.devnull, os.O_RDONLY)
-            except OSError:
-                pass
-
-    def close(self):
-        self.let_go()
-        for name, number in self.files.items():
-            if number is not None:
-                os.close(number)
-            self.files[name] = None
-
-
 class Arrival:
     """A connection on its way in: first a bare socket, then an end on a transport."""
 
@@ -305,46 +226,3 @@
         self.timer.cancel()
         for listener in self.listeners:
             listener.close()
-
-
-class Read(asyncio.BaseProtocol):
-    """What an end that was let in shares, on a protocol that reads in chunks. A subclass has `arrival` and take(data),
-    which gives how many bytes of an unfinished frame are held."""
-    arrival: Arrival
-    chunk: bytearray
-    transport: Any
-    resting = False
-
-    def data_received(self, data):
-        raise NotImplementedError
-
-    def get_buffer(self, hint):
-        return memoryview(self.chunk)
-
-    def buffer_updated(self, count):
-        caller = self.arrival.caller
-        self.data_received(bytes(memoryview(self.chunk)[:count]))
-        caller.used = self.arrival.hall.clock.now()
-
-    def holds(self, size, finished):
-        """Keeps count of what is unfinished; the guard is told where the group holds too much."""
-        caller = self.arrival.caller
-        if size and (finished or not caller.partial):
-            caller.partial = self.arrival.hall.clock.now()
-        elif not size:
-            caller.partial = 0.0
-        group = caller.group
-        if group is not None:
-            more, caller.held = size - caller.held, size
-            if more and group.holds(more) and more > 0:
-                self.arrival.hall.post(d.Swollen(caller))
-
-    def pause(self):
-        if not self.resting and not self.transport.is_closing():
-            self.resting = True
-            self.transport.pause_reading()
-
-    def resume(self):
-        if self.resting and not self.transport.is_closing():
-            self.resting = False
-            self.transport.resume_reading()
--- a/cherrydoor/gateway/alarms.py
+++ b/cherrydoor/gateway/alarms.py
@@ -3,6 +3,7 @@
 from heapq import heappop, heappush
 from typing import Any
 
+MOST_BEHIND = 0.25      # of an event's time, that may be kept for alarms told late where the core is short
 BEHIND_HALF = 2000.0    # ms after which half of how late alarms were told is forgotten
 
 
--- a/cherrydoor/gateway/daemon.py
+++ b/cherrydoor/gateway/daemon.py
@@ -13,7 +13,8 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 from cherrydoor.admission.decide import divide
-from cherrydoor.admission.listener import Listener, Uses
+from cherrydoor.admission.listener import Listener
+from cherrydoor.admission.usage import Uses
 from cherrydoor.gateway.metrics import Asked
 from cherrydoor.gateway.shell import Shell, address
 from cherrydoor.keys.files import BadKeys
--- a/cherrydoor/gateway/desk.py
+++ b/cherrydoor/gateway/desk.py
@@ -10,7 +10,7 @@
 
 from cherrydoor import interface as io
 from cherrydoor.frames import messages as m
-from cherrydoor.gateway.alarms import Alarms
+from cherrydoor.gateway.alarms import MOST_BEHIND, Alarms
 from cherrydoor.gateway.books import LATE, LAUNCHED_AFTER_CLOSE, Sent, Taken
 from cherrydoor.gateway.books import Client as Client
 from cherrydoor.gateway.host_list import HostList
@@ -18,8 +18,6 @@
 from cherrydoor.gateway.links import Links
 from cherrydoor.gateway.loading import Loading
 
-MOST_BEHIND = 0.25      # of an event's time, that may be kept for alarms told late where the core is short
-
 
 class Desk(Alarms, Links, HostList, Loading, Inheritance):
     """One gateway's events, launches and links. Tables: `taken` empties with final answers, `hosts` when gone and
--- a/cherrydoor/gateway/door.py
+++ b/cherrydoor/gateway/door.py
@@ -5,7 +5,7 @@
 import structlog
 
 from cherrydoor.admission import decide as d
-from cherrydoor.admission.listener import CHUNK, Read
+from cherrydoor.admission.reading import CHUNK, Read
 from cherrydoor.ends import End, Some
 from cherrydoor.frames import custody
 from cherrydoor.frames import messages as m
--- a/cherrydoor/gateway/metrics.py
+++ b/cherrydoor/gateway/metrics.py
@@ -3,7 +3,7 @@
 import h11
 
 from cherrydoor.admission import decide as d
-from cherrydoor.admission.listener import Read
+from cherrydoor.admission.reading import Read
 
 LONGEST = 8192          # bytes of a request that are read
 
--- a/cherrydoor/gateway/shell.py
+++ b/cherrydoor/gateway/shell.py
@@ -6,8 +6,9 @@
 import structlog
 
 from cherrydoor import interface as io
-from cherrydoor.admission.listener import Hall, Listener, Uses
+from cherrydoor.admission.listener import Hall, Listener
 from cherrydoor.admission.manners import manners_of
+from cherrydoor.admission.usage import Uses
 from cherrydoor.frames import messages as m
 from cherrydoor.gateway.books import SHUT
 from cherrydoor.gateway.desk import Desk
--- a/cherrydoor/platform/doors.py
+++ b/cherrydoor/platform/doors.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from cherrydoor.admission import decide as d
-from cherrydoor.admission.listener import CHUNK, Read
+from cherrydoor.admission.reading import CHUNK, Read
 from cherrydoor.codecs import invoke
 from cherrydoor.frames import messages as m
 from cherrydoor.gateway.desk import Client
--- a/cherrydoor/platform/process.py
+++ b/cherrydoor/platform/process.py
@@ -13,7 +13,8 @@
 import uvloop
 
 from cherrydoor.admission import decide as d
-from cherrydoor.admission.listener import Hall, Listener, Uses
+from cherrydoor.admission.listener import Hall, Listener
+from cherrydoor.admission.usage import Uses
 from cherrydoor.codecs import invoke
 from cherrydoor.gateway.desk import Desk
 from cherrydoor.gateway.turn import Turn, address
