A claim waits for the heir's last answer, which came as the wait ended

Followed by its records: the client claimed event 940 at g4, the heir g1 had adopted its launch at a host that never answered; g4 said that nothing is known of it at 10721.369, g1 gave the launch up and answered at 10721.393.

At fault: Custody.reclaim waited until the client's time less all that is spared, which is the very moment at which the heir gives its last answer. Ruled out: the heir (it adopted and ended the event in time) and the links (up).

The claim now waits for half of the spared time more; the other half stays for the way to the client.

--- a/cherrydoor/custody/shell.py
+++ b/cherrydoor/custody/shell.py
@@ -155,7 +155,8 @@
                                            else said.reason))
             end.write(m.Answer(message.id, said.fate, said.stay_away, said.reason, said.body))
         late = end.client.late(message.sent, self.now())
-        left = message.lasts - late - self.shell.figures.terms.spare
+        # The heir gives its last answer when all of the spared time is left: half of that is for the way here.
+        left = message.lasts - late - self.shell.figures.terms.spare / 2
         self.ask_heir(p.Claim(0, message.gateway, message.life, message.event, message.key), tell, left)
 
     def ask_heir(self, claim, then, left=5000.0):
