--- /dev/null
+++ b/tests/platform/crossing.py
@@ -0,0 +1,45 @@
+"""What the tests of crossings share: a client that acts without the loop, and waiting for what is to be seen."""
+
+import asyncio
+import socket
+
+from town import LONG, SETTINGS, call
+
+ONCE = SETTINGS | {"requestClasses": [{"name": "draft", "aim": 600000, "deadline": 3000000, "repeat": "once"}]}
+
+
+class RawClient:
+    """A client whose calls take effect at once, without the loop: nothing of the gateway runs in between."""
+
+    def __init__(self, town):
+        self.town = town
+        self.sock = socket.create_connection(("127.0.0.1", town.port))
+
+    def call(self, **said):
+        number = self.town.number()
+        self.sock.sendall(call(number, **said))
+        return number.encode()
+
+    async def read(self):
+        """All that comes until the end of the stream; a reset is raised."""
+        self.sock.setblocking(False)
+        found = b""
+        async with asyncio.timeout(LONG):
+            while data := await asyncio.get_running_loop().sock_recv(self.sock, 65536):
+                found += data
+        return found
+
+    async def answer(self):
+        self.sock.setblocking(False)
+        async with asyncio.timeout(LONG):
+            return await asyncio.get_running_loop().sock_recv(self.sock, 65536)
+
+
+async def until(met):
+    async with asyncio.timeout(LONG):
+        while not met():
+            await asyncio.sleep(0)
+
+
+def executed(town):
+    return [words[1] for host in town.hosts for words in host.commands(b"exec")]
