--- a/cherrydoor/admission/listener.py
+++ b/cherrydoor/admission/listener.py
@@ -18,7 +18,7 @@
 
 NO_DESCRIPTORS = {errno.EMFILE, errno.ENFILE}
 NO_ROOM = NO_DESCRIPTORS | {errno.ENOBUFS, errno.ENOMEM}
-AT_ONCE = 32                # accepted in one pass of the loop
+AT_ONCE = 8                 # accepted in one pass of the loop: what is due is then not kept waiting by a crowd
 BACKLOG = 1024              # connections that the kernel accepts for us until we do
 CHUNK = 16 * 1024           # bytes read from one client in one pass, so that all have their turn
 
--- a/cherrydoor/gateway/alarms.py
+++ b/cherrydoor/gateway/alarms.py
@@ -3,9 +3,12 @@
 from heapq import heappop, heappush
 from typing import Any
 
+BEHIND_FADES = 0.99     # a turn: how late alarms were told is held against them for some hundred turns
+
 
 class Alarms:
-    """One queue of inputs, one of notes, one heap of alarms; each is emptied by turns."""
+    """One queue of inputs, one of notes, one heap of alarms; each is emptied by turns. `behind` is how many ms late
+    alarms have lately been told."""
 
     gate: Any
     now: float
@@ -13,6 +16,7 @@
     inputs: list
     notes: Any
     alarms: list
+    behind: float
     carry: dict
     overdue: Any
     told_left: Any
@@ -29,8 +33,10 @@
         for what, args in inputs:
             what(*args)
         self.tell()
+        self.behind *= BEHIND_FADES
         while self.alarms and self.alarms[0][0] <= now:
-            _, _, what, args = heappop(self.alarms)
+            at, _, what, args = heappop(self.alarms)
+            self.behind = max(self.behind, now - at)
             what(*args)
             self.tell()
 
--- a/cherrydoor/gateway/books.py
+++ b/cherrydoor/gateway/books.py
@@ -1,14 +1,25 @@
 """What the desk keeps a line of: clients, events taken, what hosts owe an end, links and hosts."""
 
 DIALING, OPEN, SHUT = "dialing", "open", "shut"
+# Counted, and must stay 0: attempts begun more than LATE ms after their client, which left, was last seen connected.
+LAUNCHED_AFTER_CLOSE, LATE = "launches after the client had left", 100.0
 
 
 class Client:
-    """One connection at the door. `ahead` is the least (our clock less its clock) seen: the way without delay.
-    has_closed() tells whether the other end has closed, though nothing of that has been read yet."""
+    """One connection at the door. `ahead` is the least (our clock less its clock) seen: the way without delay; `seen`
+    is when it was last known to be connected. has_closed() tells whether the other end has closed, though nothing of
+    that has been read yet."""
 
     def __init__(self, wire, name="", has_closed=lambda: False):
         self.wire, self.name, self.open, self.ahead, self.has_closed = wire, name, {}, None, has_closed
+        self.seen = 0.0
+
+    def connected(self, now):
+        """Asked before each launch."""
+        if self.has_closed():
+            return False
+        self.seen = now
+        return True
 
     def late(self, sent, now):
         """How long a frame was under way beyond the quickest, in ms: a stall of ours or of the network."""
--- a/cherrydoor/gateway/desk.py
+++ b/cherrydoor/gateway/desk.py
@@ -11,13 +11,17 @@
 from cherrydoor import interface as io
 from cherrydoor.frames import messages as m
 from cherrydoor.gateway.alarms import Alarms
-from cherrydoor.gateway.books import OPEN, Sent, Taken
+from cherrydoor.gateway.books import LATE, LAUNCHED_AFTER_CLOSE, Sent, Taken
 from cherrydoor.gateway.books import Client as Client
+from cherrydoor.gateway.host_list import HostList
 from cherrydoor.gateway.inheritance import Inheritance
 from cherrydoor.gateway.links import Links
+from cherrydoor.gateway.loading import Loading
 
+MOST_BEHIND = 0.25      # of an event's time, that may be kept for alarms told late where the core is short
 
-class Desk(Alarms, Links, Inheritance):
+
+class Desk(Alarms, Links, HostList, Loading, Inheritance):
     """One gateway's events, launches and links. Tables: `taken` empties with final answers, `hosts` when gone and
     unlinked, `alarms` within the longest max age, links with their use."""
 
@@ -28,7 +32,9 @@
         self.gate, self.terms, self.dial, self.hear = gate, terms, dial, hear or (lambda asked: None)
         self.now, self.numbers, self.draining = now, 0, None
         self.inputs, self.notes, self.alarms = [], deque(), []
-        self.taken, self.hosts, self.clients, self.counts = {}, {}, {}, Counter()
+        self.taken, self.hosts, self.clients = {}, {}, {}
+        self.counts = Counter({LAUNCHED_AFTER_CLOSE: 0})
+        self.behind = 0.0
         self.left = []              # events whose client has left; the module has not been told yet
         self.carry = {io.Launch: self.launch, io.Recall: self.recall, io.Defer: self.defer,
                       io.DeadLetter: self.dead_letter, io.Ring: self.ring, io.Probe: self.probe,
@@ -49,7 +55,7 @@
     def came(self, client, event):
         """An event is taken here, or refused untaken: known by its id already, past its time, or over a bound."""
         ends = self.now + event.lasts - client.late(event.sent, self.now)
-        until = ends - self.terms.spare
+        until = ends - self.terms.spare - min(self.behind, MOST_BEHIND * event.lasts)
         if event.id in client.open:
             self.counts["event ids doubled"] += 1
         elif ends <= self.now:
@@ -74,6 +80,7 @@
     def hold(self, client, event, until):
         """From here on it is owed an answer by then."""
         self.numbers += 1
+        client.seen = self.now
         taken = Taken(self.numbers, event, client, until, self.now)
         self.taken[taken.number] = client.open[event.id] = taken
         self.counts["taken"] += 1
@@ -110,6 +117,8 @@
 
     def leave(self, taken):
         self.counts["clients left"] += 1
+        self.counts[LAUNCHED_AFTER_CLOSE] += sum(
+            sent.link is not None and sent.at - taken.client.seen > LATE for sent in taken.launches)
         for sent in taken.launches if taken.streams else ():
             self.cut(sent, io.RECALLED)         # a stream has no time of its own at which it would be cut
         taken.out += 1              # kept until the module has been told: what it decides before has an end, too
@@ -227,25 +236,6 @@
     def log(self, action):
         self.counts["lines of the module"] += 1
 
-    # ---- releases
-    def foreseen(self, name, away=""):
-        """Also outside a site whose sessions have moved: a release loads ahead where they are, too."""
-        for site in ([away] if away or self.site is None else ["", *self.site.moving()]):
-            self.notes.append(io.Foreseen(name, site))
-
-    def stands(self, name, host):
-        """Others tell that a copy of the function stands there: as good as an order's answer."""
-        self.notes.append(io.Loaded(name, host, io.HANDLED, 1, 0.0))
-
-    def unload(self, name, hosts):
-        """Idle copies of a version may go; nobody waits for an answer."""
-        for one in hosts:
-            host = self.hosts.get(one)
-            link = next((ln for ln in host.links if ln.state == OPEN), None) if host else None
-            if link is not None:
-                self.numbers += 1
-                link.write(m.Drop(self.numbers, name))
-
     # ---- leaving
     def answer_all(self, reason):
         """The last moment: whoever still waits is answered now. A repeat is harmless where nothing was launched."""
--- /dev/null
+++ b/cherrydoor/gateway/host_list.py
@@ -0,0 +1,58 @@
+"""The desk's side of the list of hosts: what it says, what the module is told of it, and when a host is forgotten."""
+
+from typing import Any
+
+from cherrydoor import interface as io
+from cherrydoor.frames import messages as m
+from cherrydoor.gateway.books import OPEN, SHUT, Host
+
+
+class HostList:
+    """The tables are the desk's."""
+
+    now: float
+    terms: Any
+    notes: Any
+    hosts: dict
+    alarm: Any
+
+    def listed(self, how, rows):
+        """Rows of the list's wire. A whole list leaves out what is gone."""
+        if how != io.CHANGES:
+            named = {row.host for row in rows}
+            for host in self.hosts.values():
+                if host.id not in named:
+                    host.row = m.Row(host.id, "gone", host.row.since, host.row.zone, host.row.cell)
+        told = []
+        for row in rows:
+            host = self.hosts.get(row.host)
+            if host is None and row.state == "gone":
+                continue
+            host = self.hosts[row.host] = host or Host(row)
+            host.row, host.since = row, max(host.since, row.since)
+            told.append(self.told(host))
+        self.notes.append(io.Listing(how, tuple(told)))
+
+    def list_failed(self):
+        self.notes.append(io.Listing(io.FAILED, ()))
+
+    def told(self, host):
+        row = host.row
+        return io.Row(row.host, row.state, host.since, row.zone, row.cell)
+
+    def rows(self):
+        """The list as last held, for the next start."""
+        return [h.row for h in self.hosts.values() if h.row.state != "gone"]
+
+    def tidy(self):
+        """Closes idle links and forgets hosts that are gone and unlinked."""
+        self.alarm(self.now + self.terms.idle / 10, self.tidy)
+        for host in list(self.hosts.values()):
+            gone = host.row.state == "gone"
+            for link in list(host.links):
+                if link.state == OPEN and not link.out and (gone or self.now - link.used > self.terms.idle):
+                    link.state = SHUT
+                    host.links.remove(link)
+                    link.wire.close("")
+            if gone and not host.links:
+                del self.hosts[host.id]
--- a/cherrydoor/gateway/links.py
+++ b/cherrydoor/gateway/links.py
@@ -4,7 +4,7 @@
 
 from cherrydoor import interface as io
 from cherrydoor.frames import messages as m
-from cherrydoor.gateway.books import DIALING, OPEN, SHUT, Host, Link, Sent
+from cherrydoor.gateway.books import DIALING, OPEN, SHUT, Link, Sent
 from cherrydoor.versions import decide as v
 
 MISSED = 32             # events of which a link remembers that they were missing there
@@ -30,6 +30,7 @@
     ended: Any
     alarm: Any
     leave: Any
+    told: Any
     give_up: Any
     came_to_nothing: Any
 
@@ -58,7 +59,7 @@
         taken = sent.taken
         if taken is None:
             return ""
-        if not taken.over and taken.client.has_closed():
+        if not taken.over and not taken.client.connected(self.now):
             self.counts["closes found at a launch"] += 1
             self.leave(taken)
         if taken.over:
@@ -233,45 +234,3 @@
         copy, crowd = self.terms.tells
         return (outcome.copy if copy or outcome.copy == 4 else None, outcome.crowd if crowd else None,
                 outcome.held, outcome.queue, outcome.tied)
-
-    def tidy(self):
-        """Closes idle links and forgets hosts that are gone and unlinked."""
-        self.alarm(self.now + self.terms.idle / 10, self.tidy)
-        for host in list(self.hosts.values()):
-            gone = host.row.state == "gone"
-            for link in list(host.links):
-                if link.state == OPEN and not link.out and (gone or self.now - link.used > self.terms.idle):
-                    link.state = SHUT
-                    host.links.remove(link)
-                    link.wire.close("")
-            if gone and not host.links:
-                del self.hosts[host.id]
-
-    # ---- the list
-    def listed(self, how, rows):
-        """Rows of the list's wire. A whole list leaves out what is gone."""
-        if how != io.CHANGES:
-            named = {row.host for row in rows}
-            for host in self.hosts.values():
-                if host.id not in named:
-                    host.row = m.Row(host.id, "gone", host.row.since, host.row.zone, host.row.cell)
-        told = []
-        for row in rows:
-            host = self.hosts.get(row.host)
-            if host is None and row.state == "gone":
-                continue
-            host = self.hosts[row.host] = host or Host(row)
-            host.row, host.since = row, max(host.since, row.since)
-            told.append(self.told(host))
-        self.notes.append(io.Listing(how, tuple(told)))
-
-    def list_failed(self):
-        self.notes.append(io.Listing(io.FAILED, ()))
-
-    def told(self, host):
-        row = host.row
-        return io.Row(row.host, row.state, host.since, row.zone, row.cell)
-
-    def rows(self):
-        """The list as last held, for the next start."""
-        return [h.row for h in self.hosts.values() if h.row.state != "gone"]
--- /dev/null
+++ b/cherrydoor/gateway/loading.py
@@ -0,0 +1,34 @@
+"""What the desk does for releases: functions foreseen, copies that stand, copies to unload."""
+
+from typing import Any
+
+from cherrydoor import interface as io
+from cherrydoor.frames import messages as m
+from cherrydoor.gateway.books import OPEN
+
+
+class Loading:
+    """The tables are the desk's."""
+
+    numbers: int
+    notes: Any
+    hosts: dict
+    site: Any
+
+    def foreseen(self, name, away=""):
+        """Also outside a site whose sessions have moved: a release loads ahead where they are, too."""
+        for site in ([away] if away or self.site is None else ["", *self.site.moving()]):
+            self.notes.append(io.Foreseen(name, site))
+
+    def stands(self, name, host):
+        """Others tell that a copy of the function stands there: as good as an order's answer."""
+        self.notes.append(io.Loaded(name, host, io.HANDLED, 1, 0.0))
+
+    def unload(self, name, hosts):
+        """Idle copies of a version may go; nobody waits for an answer."""
+        for one in hosts:
+            host = self.hosts.get(one)
+            link = next((ln for ln in host.links if ln.state == OPEN), None) if host else None
+            if link is not None:
+                self.numbers += 1
+                link.write(m.Drop(self.numbers, name))
--- a/cherrydoor/platform/links.py
+++ b/cherrydoor/platform/links.py
@@ -6,7 +6,7 @@
 from cherrydoor import interface as io
 from cherrydoor.codecs import resp
 from cherrydoor.frames import messages as m
-from cherrydoor.gateway.sockets import after_input
+from cherrydoor.gateway.sockets import after_input, peer_closed
 from cherrydoor.gateway.turn import dial
 
 MOST_WAITING = 4 << 20          # bytes that may wait for a host that does not read
@@ -30,7 +30,9 @@
         self.floor.shell.post(self.floor.shell.desk.linked, self.link, self)
 
     def write(self, message):
-        if self.transport.is_closing():
+        """An idle connection that the host has just closed is found out before anything is written to it: what is
+        written may have run."""
+        if self.transport.is_closing() or not self.tags and peer_closed(self.transport):
             if type(message) is not m.Recall:
                 self.floor.shell.post(self.floor.shell.desk.unsent, self.link, message.id)
             return
--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -7,6 +7,7 @@
 from town import FUNCTION, LONG, SETTINGS, call, reply, story
 
 from cherrydoor.frames import messages as m
+from cherrydoor.gateway.books import LAUNCHED_AFTER_CLOSE
 
 ONCE = SETTINGS | {"requestClasses": [{"name": "draft", "aim": 600000, "deadline": 3000000, "repeat": "once"}]}
 
@@ -96,6 +97,46 @@
     end.transport.resume_reading()
 
 
+@story
+async def test_an_attempt_begun_after_its_client_had_left_shows_in_a_figure_that_is_0_else(town):
+    platform = await town.start_within(("a", "b"))
+    for host in town.hosts:
+        host.answers = lambda words: None
+    client = RawClient(town)
+    client.call()
+    await until(lambda: executed(town))
+    [end] = platform.door.ends
+    end.transport.pause_reading()
+    client.sock.close()
+    end.client.connected = lambda now: True             # the guard, taken out
+    [link] = [link for host in platform.desk.hosts.values() for link in host.links if link.out]
+    later = platform.clock.now() + 200
+    platform.clock.now = lambda: later
+    assert platform.desk.counts[LAUNCHED_AFTER_CLOSE] == 0
+    platform.post(platform.desk.heard, link, m.Outcome(*link.out, "full"))
+    platform.post(end.transport.resume_reading)
+    await until(lambda: not platform.desk.taken and not platform.door.ends)
+    assert platform.desk.counts[LAUNCHED_AFTER_CLOSE] == 1
+
+
+@story
+async def test_deadlines_are_kept_by_as_much_as_alarms_have_lately_been_late(town):
+    platform = await town.start_within()
+    town.hosts[0].answers = lambda words: None
+    first, second = RawClient(town), RawClient(town)
+    first.call()
+    await until(lambda: platform.desk.taken)
+    [taken] = platform.desk.taken.values()
+    platform.desk.alarm(platform.clock.now() - 60.0, platform.desk.notes.clear)
+    platform.rung()
+    await until(lambda: platform.desk.behind > 50.0)
+    second.call()
+    await until(lambda: len(platform.desk.taken) == 2)
+    [_, late] = platform.desk.taken.values()
+    assert 1995.0 - (taken.until - taken.at) < 1.0
+    assert 1995.0 - (late.until - late.at) > 40.0
+
+
 @story
 async def test_a_timer_that_is_due_after_a_stall_acts_after_the_input_that_came_meanwhile(town):
     platform = await town.start_within()
@@ -212,6 +253,18 @@
     assert (await client.answer()).body == b"ran once" and len(host.commands(b"exec")) == 2
 
 
+@story
+async def test_an_idle_connection_that_its_host_has_closed_is_not_written_to(town):
+    platform = await town.start_within(("a", "b"), settings=ONCE)
+    assert (await town.handled()).status == 200
+    [end] = platform.floor.ends
+    end.transport.pause_reading()           # as where a stall keeps the loop from its sockets
+    [host] = [host for host in town.hosts if host.writers]
+    host.writers[0].write_eof()
+    assert (await town.handled(patience="900")).status == 200 and len(host.commands(b"exec")) == 1
+    end.transport.resume_reading()
+
+
 # ---- the list
 @story
 async def test_a_bulletin_that_leaves_out_a_number_is_asked_for_it(town):
