Failing test: a host that drains during a discovery outage is sent new work

Cause: reported from pre-production. While the discovery servers refuse connections, hosts that begin to drain stay up and answer each attempt as full, and the gateway goes on sending to them for as long as the outage lasts.

The test runs a gateway in a process of its own against three hosts and a discovery server that goes away, drains one host, and counts what reaches it after the 4 s of an outage and the grace.

--- /dev/null
+++ b/tests/platform/test_discovery_outage.py
@@ -0,0 +1,102 @@
+"""Hosts that began to drain while discovery was out of reach were still sent new work.
+
+Symptom: in a fleet of 3 and one of 51 gateways, 1,001 attempts and 111 load orders reached
+draining hosts after the times at which discovery counts as having notified of the drain, with the
+grace added. The hosts answered all of them as full; none ran.
+
+Sequence: each gateway's discovery server refused connections; less than a second later two busy
+hosts began to drain, and stayed up. From 7.6 s after the drain, which is the 4 s of an outage and
+the grace, each further attempt there broke the rule. The gateways went on as before for the whole
+outage.
+
+Cause: the endpoint list never expired. `HostCalls.held_back_reason` and `AttemptRules.allows`
+went by the last state received, however old it was, and a host's own signs of a drain counted as
+a full queue.
+
+What settled it: the gateways logged `discovery watch connection ended`, reason `not connected:
+[Errno 111] Connection refused`, with `"last_revision": 1` three times in 1.2 s for as long as the
+logs reach, so the outage was noticed and not acted on; in each attempt that was followed, the
+draining host came first, answered within 2 ms that it was full, and another host then served the
+request.
+"""
+
+import asyncio
+import contextlib
+
+from platform_harness import SETTINGS, reply, with_harness
+
+GRACE_S = 0.5
+NOTIFIED_AFTER_S = 4.0  # from the beginning of an outage, by the protocol page
+SLACK_S = 0.05  # that the protocol page adds to each time limit
+PROOF_S = 1.5  # for which clients go on after the first moment at which an attempt breaks the rule
+CLIENTS = 4
+FUNCTIONS = [f"{number:016x}" for number in range(1, 9)]
+OUTAGE_SETTINGS = SETTINGS | {
+    "rules": SETTINGS["rules"] | {"drainGrace": int(GRACE_S * 1e6)},
+}
+
+
+def draining(words):
+    """What a host that drains replies: it stays up and runs nothing new."""
+    if words[0] == b"health":
+        return reply(words[1], b"UNFIT")
+    return reply(words[1], b"WAIT") if words[0] in (b"exec", b"ensure") else None
+
+
+class Arrivals:
+    """When new work arrived at a host, in s of the loop's clock."""
+
+    def __init__(self, host):
+        self.times = []
+        self.answers = host.answers
+        host.answers = self.answered
+
+    def answered(self, words):
+        if words[0] == b"exec" or words[0] == b"ensure" and b"copies=0" not in words[2]:
+            self.times.append(asyncio.get_running_loop().time())
+        return self.answers(words)
+
+    def after(self, time_s):
+        return [time for time in self.times if time > time_s]
+
+
+async def send_until(harness, end_s, answers):
+    """Sends one request after the other on a connection of its own."""
+    client = await harness.client()
+    loop = asyncio.get_running_loop()
+    number = 0
+    while loop.time() < end_s:
+        client.call(function=FUNCTIONS[number % len(FUNCTIONS)])
+        number += 1
+        answers.append((loop.time(), (await client.answer()).status))
+        await asyncio.sleep(0.01)
+    client.writer.close()
+
+
+@contextlib.asynccontextmanager
+async def outage(harness):
+    """Takes the discovery server away: its connections end and new ones are refused."""
+    discovery = harness.discovery_servers[0]
+    discovery.server.close()
+    discovery.cut()
+    yield asyncio.get_running_loop().time()
+
+
+@with_harness
+async def test_a_host_that_drains_during_a_discovery_outage_gets_nothing_new(harness):
+    await harness.start(("a", "b", "c"), settings=OUTAGE_SETTINGS)
+    await harness.discovery_servers[0].until_asked(1)
+    for function in FUNCTIONS:
+        assert (await harness.handled(function=function)).status == 200
+    arrivals = Arrivals(harness.hosts[0])
+    async with outage(harness) as began_s:
+        arrivals.answers = draining
+        forbidden_from_s = began_s + NOTIFIED_AFTER_S + GRACE_S + SLACK_S
+        answers = []
+        end_s = forbidden_from_s + PROOF_S
+        clients = (send_until(harness, end_s, answers) for _ in range(CLIENTS))
+        await asyncio.gather(*clients)
+    late = arrivals.after(forbidden_from_s)
+    assert not late, f"{len(late)} sends to a draining host after its grace"
+    after = [status for time, status in answers if time > forbidden_from_s]
+    assert len(after) > 100 and after.count(200) > 0.95 * len(after)
