--- a/cherrydoor/gateway/host_calls.py
+++ b/cherrydoor/gateway/host_calls.py
@@ -1,5 +1,6 @@
 """Calls to hosts, from when they are sent until they end. No I/O, no clock."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -22,6 +23,12 @@
 MISSING_REMEMBERED = 32
 # New work, which is held back where a host drains or a request is over.
 NEW_WORK = (protocol.Attempt, protocol.LoadOrder, protocol.HealthCheck)
+# Names of the counters of how calls ended; a query's end is of no use beyond its asker.
+OUTCOME_COUNTERS: dict[CallKind, str] = {
+    CallKind.ATTEMPT: "attempts ended",
+    CallKind.HEALTH_CHECK: "health checks ended",
+    CallKind.LOAD_ORDER: "load orders ended",
+}
 # The reply that ends a call of each kind.
 RESULT_TYPES: dict[type, CallKind] = {
     protocol.AttemptResult: CallKind.ATTEMPT,
@@ -35,10 +42,14 @@
 
     Invariant: a call that was made ends exactly once, in ``end``. Until then it is in its
     connection's ``out``; replies that come in elsewhere are ignored.
+
+    Attributes:
+        outcomes: How often calls of each kind ended in each way, for the log.
     """
 
     def __init__(self, dispatcher: "Dispatcher") -> None:
         self.dispatcher = dispatcher
+        self.outcomes: Counter[str] = Counter()
 
     # ---- calls out
     def check_health(self, action: routing.CheckHealth) -> None:
@@ -189,6 +200,8 @@
         if call.outcome is not None:
             return
         call.outcome = outcome
+        if call.kind in OUTCOME_COUNTERS:
+            self.outcomes[f"{OUTCOME_COUNTERS[call.kind]}: {outcome}"] += 1
         took_ms = self.dispatcher.now - call.started_at_ms
         link = call.link
         if link is not None:
--- a/cherrydoor/platform/client_connection.py
+++ b/cherrydoor/platform/client_connection.py
@@ -78,6 +78,8 @@
         if type(message) is not protocol.Response:
             return
         self.awaiting_id = None
+        if message.outcome != "handled":
+            self.log_refusal(message)
         if message.outcome == "handled":
             self.respond(OK, message.body)
         elif message.outcome == "deferred":
@@ -85,6 +87,15 @@
         else:
             self.respond(BAD_GATEWAY, message.reason)
 
+    def log_refusal(self, response: protocol.Response) -> None:
+        """Logs the id of a request without a result, and how its attempts ended."""
+        self.listener.service.log.write_limited(
+            "request refused" if response.outcome == "deferred" else "request failed",
+            request=f"{response.id:016x}",
+            reason=response.reason,
+            retry_after_ms=round(response.retry_after_ms),
+        )
+
     def respond(
         self, status: int, body: bytes | str, retry_after_ms: float = 0.0, close: bool = False
     ) -> None:
--- a/cherrydoor/platform/discovery_watch.py
+++ b/cherrydoor/platform/discovery_watch.py
@@ -15,9 +15,15 @@
 READ_TIMEOUT_S = 1.8  # without a line, where the platform sends a comment each second
 CONNECT_TIMEOUT_S = 0.5  # that a connection may take
 BACKOFF_S = (0.0, 0.05, 0.1, 0.2, 0.4)  # before the next try, by failures in a row
+LOGGED_HOSTS = 20  # of one update, at most
 SILENT = "silent"  # why a connection ended that is not counted as a failure: it had been open
 
 
+def state_names(update: sse.Told) -> dict[str, str]:
+    """Returns the states of the first hosts of an update, for the log."""
+    return {entry.id: entry.state for entry in (update.rows or ())[:LOGGED_HOSTS]}
+
+
 class WatchConnection(asyncio.Protocol):
     """One connection to the endpoint stream.
 
@@ -51,7 +57,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Hands complete updates to the watch; what cannot be read ends the connection."""
-        self.last_input_s = asyncio.get_running_loop().time()
+        self.last_input_s = self.watch.last_input_s = asyncio.get_running_loop().time()
         try:
             for update in self.reader.feed(data):
                 if self.ended.done():
@@ -85,6 +91,7 @@
         last_revision: Of the last update that was applied.
         missing_before: Revision before which one is missing and was asked for, if there is such.
         connection: The latest connection.
+        last_input_s: When the stream last sent anything, in s of the loop's clock.
     """
 
     def __init__(self, service: Any, server: str, last_revision: int) -> None:
@@ -94,6 +101,7 @@
         self.missing_before: int | None = None
         self.task: asyncio.Task[None] | None = None
         self.connection: WatchConnection | None = None
+        self.last_input_s = asyncio.get_running_loop().time()
 
     def start(self) -> None:
         """Begins to watch."""
@@ -124,9 +132,14 @@
                 server=server,
                 reason=reason,
                 last_revision=self.last_revision,
+                silent_ms=round(self.silent_ms()),
             )
             await asyncio.sleep(BACKOFF_S[min(failures, len(BACKOFF_S) - 1)])
 
+    def silent_ms(self) -> float:
+        """Returns for how many ms the stream has sent nothing."""
+        return (asyncio.get_running_loop().time() - self.last_input_s) * 1000
+
     async def read_connection(self, server: str) -> str:
         """Reads one connection to its end; returns why it ended."""
         connection = WatchConnection(self, server)
@@ -186,7 +199,9 @@
         self.last_revision = update.no
         self.apply(update, renumbered)
         fields = {"renumbered": True} if renumbered else {}
-        self.service.log.write("discovery update applied", revision=update.no, **fields)
+        self.service.log.write(
+            "discovery update applied", revision=update.no, **fields, hosts=state_names(update)
+        )
 
     def apply(self, update: sse.Told, renumbered: bool = False) -> None:
         """Posts the endpoints of an update to the dispatcher.
--- a/cherrydoor/platform/process.py
+++ b/cherrydoor/platform/process.py
@@ -210,6 +210,7 @@
             requests=len(self.dispatcher.requests),
             hosts=len(self.dispatcher.hosts),
             counters=dict(self.dispatcher.counters),
+            outcomes=dict(self.dispatcher.calls.outcomes),
             admission=self.listeners.controller.counters,
         )
 
--- a/tests/platform/test_in_service.py
+++ b/tests/platform/test_in_service.py
@@ -257,3 +257,17 @@
     began = asyncio.get_running_loop().time()
     answer = await harness.handled(patience="700")
     assert answer.status in (502, 503) and asyncio.get_running_loop().time() - began < LONG
+
+
+@with_harness
+async def test_a_refused_request_is_logged_with_its_id_and_how_its_attempts_ended(harness):
+    await harness.start()
+    host = harness.hosts[0]
+    host.answers = lambda words: reply(words[1], b"WAIT")
+    client = await harness.client()
+    number = client.call()
+    assert (await client.answer()).status == 503
+    await harness.until_logged(f'"is": "request refused", "request": "{number}", "reason": "full"')
+    harness.signal("SIGTERM")
+    assert await harness.ended() == 0
+    assert '"outcomes": {"attempts ended: full": 1}' in harness.logged()
