Hosts get new work on a lease: an outdated endpoint list no longer speaks for them

Cause: what the endpoint list last said counted for good (EndpointList.update, AttemptRules.allows, HostCalls.held_back_reason look at the state, nothing at its age). Class of fault: no news taken for good news.

Change: the watch confirms the list with each line of the stream. Once confirmations are missing, each host holds a lease of its own, for three quarters of the drain grace after a health check that it passed was sent (routing/endpoint_leases.py). A request whose host has none waits for the check, 60 ms at most, then goes to another host. Hosts in use are checked ahead. A host that failed its check or could not be reached is in slow start when it is back, as it may be another process. Related: a confirmation read after a stall counts from the last tick before it; after SIGHUP the old stream confirms nothing until the new configuration is read; a new connection confirms only after what was missed has come; timeouts of the watch grow, so that a slow server is reached at last; the list's age outlives a restart of the dispatcher.

Measured: the regression test passes (15 sends before, none now); platform, routing, behaviour and compatibility pass.

--- a/cherrydoor/adapter/wire.py
+++ b/cherrydoor/adapter/wire.py
@@ -124,6 +124,7 @@
         copies.get("loadsWithin", 0) / 1000,
         bool(copies.get("saysWarm")),
         bool(copies.get("saysCompany")),
+        rules["drainGrace"] / 1000 if "drainGrace" in rules else None,
     )
 
 
@@ -196,6 +197,7 @@
     routing.FailRequest: ("fail", lambda a: f"{a.request_id}"),
     routing.SetTimer: ("defer", lambda a: f"{us(a.at_ms)} {a.token}"),
     routing.CheckHealth: ("test", lambda a: a.host),
+    routing.CheckLease: ("test", lambda a: a.host),
     routing.OrderLoad: ("start_copy", lambda a: f"{a.function} {a.host} {a.copies}"),
     routing.PollEndpoints: ("watch", lambda a: "1"),
     routing.LogMessage: ("say_log", lambda a: a.text),
--- a/cherrydoor/gateway/dispatcher.py
+++ b/cherrydoor/gateway/dispatcher.py
@@ -58,6 +58,7 @@
         counters: What happened how often, for metrics.
         failover: Gets requests in flight, where they outlive this gateway; set by the service.
         zone_drain: Knows the zones that drain; set by the service.
+        router_log: Gets log messages of the router; set by the service.
         dial: Asks the I/O to open a connection.
         poll_endpoints: Asks the I/O for the endpoint list.
         releases: Chooses the version that a request calls, None without gradual releases.
@@ -83,6 +84,7 @@
         self.call_ended = call_ended or ignore
         self.failover: Any = None
         self.zone_drain: Any = None
+        self.router_log: Callable[[str], object] = ignore
         self.draining: str | None = None
         self.counters: Counter[str] = Counter({ATTEMPTS_AFTER_CLOSE: 0})
         # requests, calls and timers share one sequence of numbers
@@ -124,6 +126,7 @@
         self.message_not_sent = self.calls.message_not_sent
         self.host_replied = self.calls.replied
         self.endpoints_updated = self.endpoint_list.update
+        self.endpoints_confirmed = self.endpoint_list.confirmed
         self.endpoint_poll_failed = self.endpoint_list.poll_failed
         self.endpoints = self.endpoint_list.rows
         self.order = self.load_orders.order
@@ -144,6 +147,7 @@
             routing.FailRequest: self.attempts.fail_request,
             routing.SetTimer: self.set_router_timer,
             routing.CheckHealth: self.calls.check_health,
+            routing.CheckLease: self.calls.check_lease,
             routing.OrderLoad: self.load_orders.order,
             routing.PollEndpoints: self.request_endpoints,
             routing.LogMessage: self.count_log_message,
@@ -204,8 +208,9 @@
         self.poll_endpoints(True)
 
     def count_log_message(self, action: routing.LogMessage) -> None:
-        """Counts a log message of the router, which is not kept."""
+        """Counts a log message of the router, and hands it to the service's log."""
         self.counters["log messages of the router"] += 1
+        self.router_log(action.text)
 
     # ---- inputs about the whole gateway
     def host_greeted(self, link: Any, hello: Any) -> None:
--- a/cherrydoor/gateway/endpoints.py
+++ b/cherrydoor/gateway/endpoints.py
@@ -53,6 +53,10 @@
                 row = host.row
                 host.row = protocol.Endpoint(host.id, GONE, row.started_at_ms, row.zone, row.cell)
 
+    def confirmed(self, at_ms: float) -> None:
+        """Notifies the router that the endpoint list was up to date at this time."""
+        self.dispatcher.router_messages.append(routing.EndpointsConfirmed(at_ms))
+
     def poll_failed(self) -> None:
         """Notifies the router that the endpoint list could not be read."""
         self.dispatcher.router_messages.append(
--- a/cherrydoor/gateway/host_calls.py
+++ b/cherrydoor/gateway/host_calls.py
@@ -57,6 +57,10 @@
         wait_ms = self.dispatcher.limits.probe
         self.ask(action.host, CallKind.HEALTH_CHECK, "", wait_ms, protocol.HealthCheck)
 
+    def check_lease(self, action: routing.CheckLease) -> None:
+        """Sends a health check that may take as long as the router says."""
+        self.ask(action.host, CallKind.HEALTH_CHECK, "", action.timeout_ms, protocol.HealthCheck)
+
     def ask(
         self,
         host_id: str,
@@ -100,14 +104,21 @@
         """Returns why a message may not go out to the host now, "" where it may.
 
         Each attempt, health check and load order is checked when it is sent, and again when it
-        waited for a connection. Guards against new work for a host that is known to drain, and
-        against attempts for a request that is finished or whose client has disconnected; costs a
-        system call for each attempt.
+        waited for a connection. Guards against new work for a host that is known to drain, or that
+        may drain unknown to an outdated endpoint list, and against attempts for a request that is
+        finished or whose client has disconnected; costs a system call for each attempt.
         """
         if type(message) not in NEW_WORK:
             return ""
         if host.row.state != "ready":
             return "the host drains"
+        # A list without news says nothing of a drain that has begun since: the lease decides.
+        if type(
+            message
+        ) is not protocol.HealthCheck and not self.dispatcher.router.may_get_new_work(
+            host.id, self.dispatcher.now
+        ):
+            return "the host has no lease"
         pending = call.pending
         if pending is None:
             return ""
--- a/cherrydoor/platform/configuration_reload.py
+++ b/cherrydoor/platform/configuration_reload.py
@@ -35,6 +35,8 @@
             self.retry.cancel()
             self.retry = None
         service = self.service
+        # From the signal on the old server may tell nothing further, though it still speaks.
+        service.discovery_watch.suspend()
         try:
             new = self.read()
         except ConfigurationError as error:
@@ -42,12 +44,15 @@
                 self.retry = service.loop.call_later(
                     RETRY_DELAYS_S[retries], self.start, retries + 1
                 )
+            else:
+                service.discovery_watch.resume()
             service.log.write_limited("configuration rejected", reason=str(error))
             return
         watch = service.discovery_watch
         for update in new.known_endpoints.updates:
             watch.update_received(update)
         watch.move(new.discovery_server)
+        watch.resume()
         service.log.write_limited(
             "configuration reloaded",
             discovery_server=new.discovery_server,
--- a/cherrydoor/platform/discovery_watch.py
+++ b/cherrydoor/platform/discovery_watch.py
@@ -14,6 +14,12 @@
 
 READ_TIMEOUT_S = 1.8  # without a line, where the platform sends a comment each second
 CONNECT_TIMEOUT_S = 0.5  # that a connection may take
+# Both times are doubled with each failure in a row, so often at most: a slow or crowded server is
+# asked in vain for ever by those who never wait for its answer.
+MAX_TIMEOUT_DOUBLINGS = 2
+# From a connection's first byte until what comes on it confirms the endpoint list: the updates that
+# were missed come first.
+CONFIRMING_AFTER_S = 0.25
 BACKOFF_S = (0.0, 0.05, 0.1, 0.2, 0.4)  # before the next try, by failures in a row
 LOGGED_HOSTS = 20  # of one update, at most
 SILENT = "silent"  # why a connection ended that is not counted as a failure: it had been open
@@ -34,6 +40,7 @@
     Attributes:
         ended: Future of the reason why the connection ended.
         last_input_s: When something last came, in s of the loop's clock.
+        first_input_s: When something first came; None before that.
         updates_received: How many complete updates came.
     """
 
@@ -44,6 +51,7 @@
         self.transport: Any = None
         self.ended: asyncio.Future[str] = asyncio.get_running_loop().create_future()
         self.last_input_s = 0.0
+        self.first_input_s: float | None = None
         self.updates_received = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -58,6 +66,9 @@
     def data_received(self, data: bytes) -> None:
         """Hands complete updates to the watch; what cannot be read ends the connection."""
         self.last_input_s = self.watch.last_input_s = asyncio.get_running_loop().time()
+        if self.first_input_s is None:
+            self.first_input_s = self.last_input_s
+        lines_before = self.reader.lines
         try:
             for update in self.reader.feed(data):
                 if self.ended.done():
@@ -66,6 +77,14 @@
                 self.watch.update_received(update, self)
         except sse.Unreadable as error:
             self.end(str(error))
+        if self.reader.lines > lines_before and self.is_settled():
+            self.watch.confirm()
+
+    def is_settled(self) -> bool:
+        """Whether it is open, and has been for long enough to have brought what was missed."""
+        if self.ended.done() or self.first_input_s is None:
+            return False
+        return self.last_input_s - self.first_input_s >= CONFIRMING_AFTER_S
 
     def end(self, reason: str) -> None:
         """Closes the connection; the first reason counts."""
@@ -91,6 +110,8 @@
         last_revision: Of the last update that was applied.
         missing_before: Revision before which one is missing and was asked for, if there is such.
         connection: The latest connection.
+        confirmed_at_ms: When the endpoint list was last up to date, in ms of the service's clock.
+        suspended: Whether the stream may have moved, so that what comes confirms nothing.
         last_input_s: When the stream last sent anything, in s of the loop's clock.
     """
 
@@ -102,6 +123,8 @@
         self.task: asyncio.Task[None] | None = None
         self.connection: WatchConnection | None = None
         self.last_input_s = asyncio.get_running_loop().time()
+        self.confirmed_at_ms = service.clock.now()
+        self.suspended = False
 
     def start(self) -> None:
         """Begins to watch."""
@@ -120,9 +143,10 @@
         while True:
             server = self.server
             revision_before = self.last_revision
-            reason = await self.read_connection(server)
+            reason = await self.read_connection(server, 2 ** min(failures, MAX_TIMEOUT_DOUBLINGS))
             progressed = self.last_revision > revision_before
-            if progressed or self.server != server or reason == SILENT:
+            was_open = self.connection is not None and self.connection.reader.lines
+            if progressed or self.server != server or (reason == SILENT and was_open):
                 failures = 0
             else:
                 failures += 1
@@ -140,19 +164,27 @@
         """Returns for how many ms the stream has sent nothing."""
         return (asyncio.get_running_loop().time() - self.last_input_s) * 1000
 
-    async def read_connection(self, server: str) -> str:
-        """Reads one connection to its end; returns why it ended."""
+    async def read_connection(self, server: str, patience: int) -> str:
+        """Reads one connection to its end; returns why it ended.
+
+        Args:
+            server: The stream's address:port.
+            patience: By how much the timeouts are multiplied until something has come.
+        """
         connection = WatchConnection(self, server)
         self.connection = connection
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(CONNECT_TIMEOUT_S * patience):
                 await open_connection(self.service.listeners, lambda: connection, *address(server))
         except (TimeoutError, OSError) as error:
             connection.end("")
             return f"not connected: {error or 'timeout'}"
         loop = asyncio.get_running_loop()
         while not connection.ended.done():
-            remaining_s = connection.last_input_s + READ_TIMEOUT_S - loop.time()
+            timeout_s = READ_TIMEOUT_S
+            if connection.first_input_s is None:
+                timeout_s *= patience
+            remaining_s = connection.last_input_s + timeout_s - loop.time()
             if remaining_s <= 0:
                 connection.end(SILENT)
                 break
@@ -161,6 +193,27 @@
                 await asyncio.sleep(0)
         return connection.ended.result()
 
+    def confirm(self) -> None:
+        """Notifies the dispatcher that the endpoint list is up to date.
+
+        It was so at the last tick: what is read after a stall of this process may be as old.
+        """
+        if not self.suspended:
+            self.confirmed_at_ms = max(self.confirmed_at_ms, self.service.dispatcher.now)
+            self.post_confirmation()
+
+    def post_confirmation(self) -> None:
+        """Posts when the endpoint list was last up to date, also to a dispatcher that is new."""
+        self.service.post(self.service.dispatcher.endpoints_confirmed, self.confirmed_at_ms)
+
+    def suspend(self) -> None:
+        """Lets the stream confirm nothing until ``resume``: a new configuration may move it."""
+        self.suspended = True
+
+    def resume(self) -> None:
+        """Ends ``suspend``: the server is known."""
+        self.suspended = False
+
     def move(self, server: str) -> None:
         """Goes on with another server, from the last revision that was applied."""
         if server != self.server:
--- a/cherrydoor/platform/process.py
+++ b/cherrydoor/platform/process.py
@@ -83,15 +83,22 @@
         self.discovery_watch = DiscoveryWatch(self, configuration.discovery_server, known.revision)
         for update in known.updates:
             self.discovery_watch.apply(update)
+        self.discovery_watch.post_confirmation()
 
     def new_dispatcher(self) -> Dispatcher:
         """Returns a dispatcher without hosts and requests."""
-        return Dispatcher(
+        dispatcher = Dispatcher(
             Router(self.configuration.router_settings),
             self.configuration.limits,
             self.upstream.dial,
             self.clock.now(),
         )
+        dispatcher.router_log = self.log_routing
+        return dispatcher
+
+    def log_routing(self, text: str) -> None:
+        """Writes a log message of the router."""
+        self.log.write("routing", text=text)
 
     def line(self, event: str, **fields: Any) -> None:
         """Writes a log line; the trace calls it so."""
@@ -179,6 +186,7 @@
         self.dispatcher.counters.update(failed.counters)
         self.dispatcher.counters["dispatcher restarts"] += 1
         self.post(self.dispatcher.endpoints_updated, "saved", endpoints)
+        self.discovery_watch.post_confirmation()
 
     def log_ready(self) -> None:
         """Logs what the gateway starts with."""
--- a/cherrydoor/routing/attempt_rules.py
+++ b/cherrydoor/routing/attempt_rules.py
@@ -20,7 +20,8 @@
         """Whether this request may be sent to this host now.
 
         Not when it is closed, streams, is past its deadline or has had all its attempts; nor to a
-        host that is not ready, has no warm-up budget or is of the zone that its session left.
+        host that is not ready, has no lease and none in sight, has no warm-up budget or is of the
+        zone that its session left.
         """
         now = self._context.now
         settings = self._context.settings
@@ -33,7 +34,9 @@
             return False
         if request.drained_zone and host.zone == request.drained_zone:
             return False
-        if host.state != messages.HostState.READY or not host.slow_start.has_budget(now):
+        if host.state != messages.HostState.READY or host.lease.is_out_of_reach(now):
+            return False
+        if not host.slow_start.has_budget(now):
             return False
         if request.attempts_in_flight() and not settings.may_hedge:
             return False
--- a/cherrydoor/routing/context.py
+++ b/cherrydoor/routing/context.py
@@ -15,6 +15,7 @@
     | messages.FailRequest
     | messages.SetTimer
     | messages.CheckHealth
+    | messages.CheckLease
     | messages.OrderLoad
     | messages.PollEndpoints
     | messages.LogMessage
--- a/cherrydoor/routing/host.py
+++ b/cherrydoor/routing/host.py
@@ -8,6 +8,7 @@
 from cherrydoor.routing import messages
 from cherrydoor.routing.context import Context
 from cherrydoor.routing.decay import WINDOW_MS, DecayingValue
+from cherrydoor.routing.endpoint_leases import EndpointListLease, HostLease
 from cherrydoor.routing.host_health import HostHealth
 from cherrydoor.routing.messages import AttemptOutcome, HostState
 from cherrydoor.routing.slow_start import SlowStart
@@ -45,19 +46,25 @@
         fullness: 1 after a response that the host is full, and fading.
         short_of_memory_at_ms: When it last had no memory for a copy.
         overloaded: It has reached T2 and is not below T1 again.
+        lease: Whether it may get new work while the endpoint list is outdated.
+        check_sent_at_ms: When the health check in flight was sent; None without one.
     """
 
     __slots__ = (
         "_cancel_attempt",
+        "_check_serves_lease_alone",
         "_context",
+        "_listed_start_ms",
         "_statistics",
         "_usual_in_flight",
         "cell",
+        "check_sent_at_ms",
         "fullness",
         "health",
         "id",
         "in_flight",
         "last_attempt_ms",
+        "lease",
         "others",
         "overloaded",
         "response_time",
@@ -73,6 +80,7 @@
         statistics: Statistics,
         endpoint: messages.Endpoint,
         cancel_attempt: Callable[[Attempt], None],
+        list_lease: EndpointListLease,
     ) -> None:
         self._context = context
         self._statistics = statistics
@@ -82,6 +90,8 @@
         self.cell = endpoint.cell
         self.state: str | None = None
         self.in_flight: dict[Attempt, float] = {}
+        self.lease = HostLease(context, list_lease, self)
+        self._listed_start_ms = endpoint.started_at_ms
         self._start_incarnation(endpoint.started_at_ms)
 
     @property
@@ -92,6 +102,8 @@
     def _start_incarnation(self, started_at_ms: float) -> None:
         """A process that starts anew has no copies and no history of failures."""
         context = self._context
+        self.check_sent_at_ms: float | None = None
+        self._check_serves_lease_alone = False
         self.health = HostHealth(context, self._statistics, self, self._cancel_attempt)
         self.overloaded = False
         self.response_time = DecayingValue(half_life_ms=2 * WINDOW_MS)
@@ -104,11 +116,22 @@
         self.slow_start = SlowStart(context, self._statistics, started_at_ms)
 
     def update(self, state: str, started_at_ms: float) -> None:
-        """Take over what the endpoint list has of the host."""
-        if started_at_ms != self.slow_start.started_at_ms and state == HostState.READY:
-            self._start_incarnation(started_at_ms)
+        """Take over what the endpoint list has of the host.
+
+        A restart that was presumed and that the list does not confirm was none: the host is warm.
+        """
+        if state == HostState.READY:
+            if started_at_ms != self._listed_start_ms:
+                self._start_incarnation(started_at_ms)
+            elif started_at_ms != self.slow_start.started_at_ms:
+                self.slow_start = SlowStart(self._context, self._statistics, started_at_ms)
+            self._listed_start_ms = started_at_ms
         self.state = state
 
+    def presume_restart(self, now: float) -> None:
+        """Take the host to have restarted just now, as its list is outdated and it was down."""
+        self._start_incarnation(now)
+
     # ---- what it can take
     def is_ready(
         self,
@@ -207,6 +230,7 @@
     def record_sent(self, attempt: Attempt, now: float) -> None:
         """An attempt is sent to it."""
         self.in_flight[attempt] = self.last_attempt_ms = now
+        self.lease.record_sent(now)
         in_flight = max(1, len(self.in_flight))
         self._usual_in_flight += USUAL_IN_FLIGHT_WEIGHT * (in_flight - self._usual_in_flight)
         self.slow_start.spend()
@@ -214,6 +238,7 @@
     def record_outcome(self, attempt: Attempt, ended: messages.AttemptEnded, now: float) -> None:
         """An attempt has ended: learn its load, response time and health."""
         self.in_flight.pop(attempt, None)
+        self.lease.record_outcome(ended.outcome, ended.concurrency, attempt.sent_at_ms, now)
         # Before the mean response time, which the limit goes by, learns of this one.
         was_long = ended.duration_ms > self.health.silence_limit_ms(attempt)
         if ended.outcome in RESPONDED:
@@ -231,9 +256,29 @@
         """Look whether it has been silent for too long."""
         self.health.check_silence(now)
 
+    def request_health_check(self, now: float) -> None:
+        """Have it checked for its health; one check at a time serves health and lease."""
+        self._check_serves_lease_alone = False
+        if self.check_sent_at_ms is None:
+            self.check_sent_at_ms = now
+            self._context.actions.append(messages.CheckHealth(self.id))
+
+    def request_lease_check(self, now: float, timeout_ms: float) -> None:
+        """Have it checked for its lease alone: a failure does not count against its health."""
+        if self.check_sent_at_ms is None:
+            self.check_sent_at_ms = now
+            self._check_serves_lease_alone = True
+            self._context.actions.append(messages.CheckLease(self.id, timeout_ms))
+
     def record_health_check(self, outcome: str, now: float) -> None:
         """A health check of it has ended."""
-        self.health.record_check(outcome, now)
+        sent_at_ms = self.check_sent_at_ms
+        self.check_sent_at_ms = None
+        if not self._check_serves_lease_alone:
+            self.health.record_check(outcome, now)
+        self._check_serves_lease_alone = False
+        if sent_at_ms is not None:
+            self.lease.record_check(outcome, sent_at_ms, now)
 
     def _record_load(self, ended: messages.AttemptEnded, now: float) -> None:
         """Learn from a response how many requests of other gateways are there."""
--- a/cherrydoor/routing/host_choice.py
+++ b/cherrydoor/routing/host_choice.py
@@ -98,6 +98,7 @@
             for attempt in request.attempts
             if attempt.outcome != AttemptOutcome.FUNCTION_MISSING
         ]
+        tried += request.passed_over
 
         def accepts(host: Host) -> bool:
             return (
--- a/cherrydoor/routing/host_health.py
+++ b/cherrydoor/routing/host_health.py
@@ -176,7 +176,7 @@
             return
         if self._context.settings.may_probe:
             self.check_in_flight = True
-            self._context.actions.append(messages.CheckHealth(self._host.id))
+            self._host.request_health_check(now)
         elif silent:
             self.record_check(AttemptOutcome.NO_RESPONSE, now)
 
--- a/cherrydoor/routing/load_orders.py
+++ b/cherrydoor/routing/load_orders.py
@@ -52,6 +52,9 @@
             return False
         if not settings.may_order_loads or host.state != messages.HostState.READY:
             return False
+        if not host.lease.holds(self._context.now):
+            host.lease.request_check(self._context.now)
+            return False
         if window_ms:
             self._ordered_ms.append(self._context.now)
         self._context.actions.append(messages.OrderLoad(function.name, host.id, 1))
--- a/cherrydoor/routing/messages.py
+++ b/cherrydoor/routing/messages.py
@@ -109,6 +109,8 @@
         reports_copy: Responses tell whether a copy was loaded; else ``AttemptEnded.copy`` is None.
         reports_concurrency: Responses tell how many requests of the function the host held; else
             ``AttemptEnded.concurrency`` is None.
+        drain_grace_ms: A host may get new work for so long after it began to drain; None where
+            nothing is stated.
     """
 
     gateway_index: int
@@ -136,6 +138,7 @@
     load_quota_window_ms: float = 0.0
     reports_copy: bool = True
     reports_concurrency: bool = True
+    drain_grace_ms: float | None = None
 
 
 # ---- messages in
@@ -156,6 +159,15 @@
     endpoints: tuple[Endpoint, ...]
 
 
+class EndpointsConfirmed(NamedTuple):
+    """The endpoint list was up to date at this time, in ms of the caller's clock.
+
+    A caller that never sends it has a list that counts as up to date for good.
+    """
+
+    at_ms: float
+
+
 class RequestArrived(NamedTuple):
     """A request was accepted.
 
@@ -298,6 +310,16 @@
     host: str
 
 
+class CheckLease(NamedTuple):
+    """Send the host a health check that may wait longer than those for its health.
+
+    It ends as a ``HealthCheckEnded``, after ``timeout_ms`` at the latest.
+    """
+
+    host: str
+    timeout_ms: float
+
+
 class OrderLoad(NamedTuple):
     """Order the host to hold so many copies of the function."""
 
--- a/cherrydoor/routing/request.py
+++ b/cherrydoor/routing/request.py
@@ -76,7 +76,12 @@
 
 
 class Request:
-    """A request that was accepted. The router drops it once closed with no attempt in flight."""
+    """A request that was accepted. The router drops it once closed with no attempt in flight.
+
+    Attributes:
+        held_for: The host whose check it waits for, with no attempt in flight; None for none.
+        passed_over: Hosts whose checks took too long for it.
+    """
 
     __slots__ = (
         "attempts",
@@ -84,7 +89,9 @@
         "deadline_ms",
         "drained_zone",
         "function",
+        "held_for",
         "id",
+        "passed_over",
         "request_class",
         "streaming",
         "tenant",
@@ -106,6 +113,8 @@
         self.attempts: list[Attempt] = []
         self.closed = False
         self.streaming = False
+        self.held_for: Host | None = None
+        self.passed_over: list[Host] = []
 
     def attempts_in_flight(self) -> list[Attempt]:
         """Attempts that have not ended."""
--- a/cherrydoor/routing/request_lifecycle.py
+++ b/cherrydoor/routing/request_lifecycle.py
@@ -3,6 +3,7 @@
 from cherrydoor.routing import messages
 from cherrydoor.routing.attempt_rules import AttemptRules
 from cherrydoor.routing.context import Context
+from cherrydoor.routing.endpoint_leases import HOLD_MS
 from cherrydoor.routing.host import Host
 from cherrydoor.routing.host_choice import OBJECTIVE_SHARE, HostChooser
 from cherrydoor.routing.load_orders import LoadOrders
@@ -15,6 +16,7 @@
 DEDUP_HALF = 0.5  # a client may be told to retry within this share of the dedup window
 LEAST_RETRY_AFTER_MS = 100.0
 RETRY_AFTER_LOAD_ORDER_MS = 50.0  # by then the order has reached the host
+HOLD_TIMER = "hold:"  # before a request's number: the token of the end of its wait for a check
 
 
 class RequestLifecycle:
@@ -25,6 +27,8 @@
 
     Attributes:
         requests: By their number.
+        held: Requests that wait for the check of a host, by host; each is emptied by the check's
+            end, and a request leaves it after ``HOLD_MS`` at the latest.
     """
 
     def __init__(
@@ -44,6 +48,7 @@
         self._zone = zone
         self._chooser = chooser
         self.requests: dict[int, Request] = {}
+        self.held: dict[Host, list[Request]] = {}
 
     def add(self, request: Request) -> None:
         """Take in a request that has arrived."""
@@ -82,11 +87,17 @@
         return not host.in_flight and untried_ms > turn_ms
 
     def start_attempt(self, request: Request, host: Host) -> None:
-        """Send the request to the host, if the rules allow; else give up."""
+        """Send the request to the host, if the rules allow; else give up.
+
+        Where the host's lease has ended, the request waits for the check that renews it.
+        """
         if not self._rules.allows(request, host):
             self.give_up(request)
             return
         context = self._context
+        if not host.lease.holds(context.now):
+            self.hold(request, host)
+            return
         attempt = Attempt(request, host, context.now)
         request.attempts.append(attempt)
         context.actions.append(messages.StartAttempt(request.id, host.id, 0.0))
@@ -96,6 +107,36 @@
         if not attempt.copy_was_loaded:
             request.function.pending_loads.setdefault(host, context.now)
 
+    def hold(self, request: Request, host: Host) -> None:
+        """Let the request wait for a check of the host, for a moment and within its deadline."""
+        now = self._context.now
+        host.lease.request_check(now)
+        request.held_for = host
+        self.held.setdefault(host, []).append(request)
+        hold_ms = max(0.0, min(HOLD_MS, (request.deadline_ms - now) / 2))
+        self._context.set_timer(hold_ms, f"{HOLD_TIMER}{request.id}")
+
+    def end_hold(self, request: Request) -> None:
+        """The request has waited for long enough: another host is chosen."""
+        host = request.held_for
+        if host is None:
+            return
+        self.held[host].remove(request)
+        if not self.held[host]:
+            del self.held[host]
+        request.passed_over.append(host)
+        self._release(request)
+
+    def check_ended(self, host: Host) -> None:
+        """A check of the host has ended: the requests that wait for it are routed again."""
+        for request in self.held.pop(host, ()):
+            self._release(request)
+
+    def _release(self, request: Request) -> None:
+        request.held_for = None
+        if not request.closed:
+            self._context.queue(self.route, request)
+
     def continue_request(
         self, request: Request, attempt: Attempt, ended: messages.AttemptEnded
     ) -> None:
--- a/cherrydoor/routing/router.py
+++ b/cherrydoor/routing/router.py
@@ -7,13 +7,14 @@
 from cherrydoor.routing.attempt_rules import AttemptRules
 from cherrydoor.routing.context import Action, Context
 from cherrydoor.routing.decay import WINDOW_MS
+from cherrydoor.routing.endpoint_leases import EndpointListLease
 from cherrydoor.routing.history_table import HistoryTable
 from cherrydoor.routing.host import Host
 from cherrydoor.routing.host_choice import HostChooser
 from cherrydoor.routing.load_orders import LoadOrders
 from cherrydoor.routing.messages import AttemptOutcome, HostState
 from cherrydoor.routing.request import Request, TenantUsage
-from cherrydoor.routing.request_lifecycle import RequestLifecycle
+from cherrydoor.routing.request_lifecycle import HOLD_TIMER, RequestLifecycle
 from cherrydoor.routing.settings import RoutingSettings
 from cherrydoor.routing.statistics import Statistics
 from cherrydoor.routing.zone_table import ZoneTable
@@ -43,6 +44,7 @@
         lifecycle: The way of requests to their final answer.
         requests: The lifecycle's requests, by their number.
         hosts: By id.
+        list_lease: Whether the endpoint list is up to date.
         tenants: Usage of the tenants with a quota, by name.
     """
 
@@ -57,6 +59,7 @@
         self.settings: RoutingSettings = self.context.settings
         self.statistics = Statistics(self.context)
         self.hosts: dict[str, Host] = {}
+        self.list_lease = EndpointListLease(self.context)
         self.history = HistoryTable(self.context, self.statistics)
         self.rules = AttemptRules(self.context)
         self.load_orders = LoadOrders(self.context)
@@ -77,6 +80,7 @@
         self._next_sweep_ms = 0.0
         self._handlers: dict[type, Callable[[Any], None]] = {
             messages.EndpointsUpdated: self._update_endpoints,
+            messages.EndpointsConfirmed: self._confirm_endpoints,
             messages.RequestArrived: self._accept_request,
             messages.FunctionExpected: self._expect_function,
             messages.StreamStarted: self._start_stream,
@@ -121,7 +125,8 @@
         for endpoint in message.endpoints:
             host = self.hosts.get(endpoint.host)
             if host is None:
-                host = Host(context, self.statistics, endpoint, self.lifecycle.cancel_attempt)
+                cancel_attempt = self.lifecycle.cancel_attempt
+                host = Host(context, self.statistics, endpoint, cancel_attempt, self.list_lease)
                 self.hosts[endpoint.host] = host
             context.queue(host.update, endpoint.state, endpoint.started_at_ms)
         if message.kind != messages.UpdateKind.INCREMENTAL:
@@ -130,6 +135,20 @@
                     context.queue(host.update, HostState.GONE, host.started_at_ms)
         context.queue(self.zone.update, context.now)
 
+    def _confirm_endpoints(self, message: messages.EndpointsConfirmed) -> None:
+        now = self.context.now
+        was_in_doubt = self.list_lease.is_in_doubt(now)
+        self.list_lease.confirm(message.at_ms)
+        if was_in_doubt and not self.list_lease.is_in_doubt(now):
+            for host in self.hosts.values():
+                host.lease.list_confirmed()
+            self.list_lease.log_change(now)
+
+    def may_get_new_work(self, host_id: str, now: float) -> bool:
+        """Whether a host's lease lets attempts and load orders go out to it at this time."""
+        host = self.hosts.get(host_id)
+        return host is None or host.lease.holds(now)
+
     def _accept_request(self, message: messages.RequestArrived) -> None:
         function = self.history.find_or_add(message.function)
         tenant = self.tenants.get(message.tenant, self._other_tenants)
@@ -204,6 +223,10 @@
             self.context.actions.append(messages.PollEndpoints())
         elif message.token == SWEEP_TIMER:
             self.context.queue(self._sweep)
+        elif message.token.startswith(HOLD_TIMER):
+            request = self.requests.get(int(message.token.removeprefix(HOLD_TIMER)))
+            if request is not None:
+                self.context.queue(self.lifecycle.end_hold, request)
         else:
             request = self.requests.get(int(message.token))
             if request is not None:
@@ -213,6 +236,7 @@
         host = self.hosts.get(message.host)
         if host is not None:
             self.context.queue(host.record_health_check, message.outcome, self.context.now)
+            self.context.queue(self.lifecycle.check_ended, host)
 
     def _end_load_order(self, message: messages.LoadOrderEnded) -> None:
         function = self.history.functions.get(message.function)
@@ -236,6 +260,10 @@
             for host in ready:
                 if host.in_flight or host.health.consecutive_failures:
                     context.queue(host.check_silence, now)
+        if self.list_lease.is_in_doubt(now):
+            self.list_lease.log_change(now)
+            for host in ready:
+                context.queue(host.lease.renew_if_in_use, now)
         suspects = sum(
             host.health.check_in_flight or host.health.ejected_until_ms > now for host in ready
         )
--- a/cherrydoor/routing/settings.py
+++ b/cherrydoor/routing/settings.py
@@ -12,10 +12,11 @@
 
     Fields named as in ``messages.Settings`` mean the same. ``max_attempts`` is capped, as each
     retry adds load. ``overload_factor`` includes the margin. ``shortest_objective_ms`` is the
-    least latency objective of all request classes.
+    least latency objective of all request classes. ``drain_grace_ms`` is None where none is stated.
     """
 
     __slots__ = (
+        "drain_grace_ms",
         "gateway_count",
         "gateway_index",
         "idle_retention_ms",
@@ -54,6 +55,7 @@
         self.idle_retention_ms = settings.idle_retention_ms or DEFAULT_IDLE_RETENTION_MS
         self.may_order_loads = settings.may_order_loads
         self.reports_missing = settings.reports_missing
+        self.drain_grace_ms = settings.drain_grace_ms
         self.load_quota_base = settings.load_quota_base
         self.load_quota_share = settings.load_quota_share
         self.load_quota_window_ms = settings.load_quota_window_ms
