The list's lease counts from the pages' times of notice, or from an unanswered request

Cause: with a lease of 1.8 s from the last confirmation, each stream that fell silent had hosts checked. What a silent stream would have told counts as told 2 s after a break at the earliest, or when it is asked again: the list now counts as current until three quarters of the grace after that.

Measured: regression test and the tests of routing pass.

--- a/cherrydoor/gateway/dispatcher.py
+++ b/cherrydoor/gateway/dispatcher.py
@@ -127,6 +127,7 @@
         self.host_replied = self.calls.replied
         self.endpoints_updated = self.endpoint_list.update
         self.endpoints_confirmed = self.endpoint_list.confirmed
+        self.endpoints_requested = self.endpoint_list.requested
         self.endpoint_poll_failed = self.endpoint_list.poll_failed
         self.endpoints = self.endpoint_list.rows
         self.order = self.load_orders.order
--- a/cherrydoor/gateway/endpoints.py
+++ b/cherrydoor/gateway/endpoints.py
@@ -57,6 +57,10 @@
         """Notifies the router that the endpoint list was up to date at this time."""
         self.dispatcher.router_messages.append(routing.EndpointsConfirmed(at_ms))
 
+    def requested(self, at_ms: float) -> None:
+        """Notifies the router that the stream was asked for updates at this time."""
+        self.dispatcher.router_messages.append(routing.EndpointsRequested(at_ms))
+
     def poll_failed(self) -> None:
         """Notifies the router that the endpoint list could not be read."""
         self.dispatcher.router_messages.append(
--- a/cherrydoor/platform/discovery_watch.py
+++ b/cherrydoor/platform/discovery_watch.py
@@ -62,6 +62,8 @@
             self.transport.abort()
             return
         self.transport.write(sse.request(self.server, self.watch.last_revision))
+        service = self.watch.service
+        service.post(service.dispatcher.endpoints_requested, service.clock.now())
 
     def data_received(self, data: bytes) -> None:
         """Hands complete updates to the watch; what cannot be read ends the connection."""
--- a/cherrydoor/routing/endpoint_leases.py
+++ b/cherrydoor/routing/endpoint_leases.py
@@ -24,10 +24,9 @@
 # Share of the drain grace that a lease lasts; the rest is for the way of what is sent at its end.
 LEASE_SHARE = 0.75
 LEAST_LEASE_MS = 40.0  # where the grace is shorter: limits on sockets have 50 ms of slack
-# A list is confirmed each second; what it would have told counts as told 2 s after a break at the
-# earliest. A list without confirmation for this long, or for a lease if that is more, is outdated.
-LIST_LEASE_MS = 1800.0
-DOUBT_MS = 1200.0  # from then on hosts in use are checked ahead of the end of the list's lease
+# A list is confirmed each second. What it would have told counts as told 2 s after a break at the
+# earliest, or as soon as it is asked again: only then does the drain grace begin.
+LIST_NOTICE_MS = 1800.0
 RENEWAL_SHARE = 0.5  # of a lease after which a host that is in use is checked again
 CHECK_SHARE = 0.5  # of a lease that a check may take: a busy host answers late
 RECHECK_MS = 500.0  # a host that has failed its check is not checked again for so long
@@ -41,32 +40,53 @@
         lease_ms: How long a host's own lease lasts; infinite where no drain grace is stated.
         confirmed_at_ms: When the list was last known to be up to date; None where nobody confirms
             it, as it then counts as up to date for good.
+        outdated_at_ms: From when on it is outdated, unless it is confirmed before.
     """
 
-    __slots__ = ("_context", "_logged_current", "confirmed_at_ms", "lease_ms")
+    __slots__ = (
+        "_context",
+        "_logged_current",
+        "_requested_at_ms",
+        "confirmed_at_ms",
+        "lease_ms",
+        "outdated_at_ms",
+    )
 
     def __init__(self, context: Context) -> None:
         grace_ms = context.settings.drain_grace_ms
         self._context = context
         self.lease_ms = inf if grace_ms is None else max(LEAST_LEASE_MS, LEASE_SHARE * grace_ms)
         self.confirmed_at_ms: float | None = None
+        self.outdated_at_ms = inf
+        self._requested_at_ms = inf  # when updates were first asked for since; infinite for never
         self._logged_current = True
 
     def confirm(self, at_ms: float) -> None:
         """Take note that the list was up to date at this time."""
         self.confirmed_at_ms = max(at_ms, self.confirmed_at_ms or at_ms)
+        if self._requested_at_ms <= self.confirmed_at_ms:
+            self._requested_at_ms = inf
+        self._set_outdated()
+
+    def request(self, at_ms: float) -> None:
+        """Take note that the stream was asked for updates at this time."""
+        self._requested_at_ms = min(self._requested_at_ms, at_ms)
+        self._set_outdated()
+
+    def _set_outdated(self) -> None:
+        if self.confirmed_at_ms is not None:
+            told_at_ms = min(self._requested_at_ms, self.confirmed_at_ms + LIST_NOTICE_MS)
+            self.outdated_at_ms = told_at_ms + self.lease_ms
 
     def is_current(self, now: float) -> bool:
         """Whether hosts hold their leases by the list alone."""
-        if self.confirmed_at_ms is None:
-            return True
-        return now < self.confirmed_at_ms + max(LIST_LEASE_MS, self.lease_ms)
+        return now < self.outdated_at_ms
 
     def is_in_doubt(self, now: float) -> bool:
-        """Whether a confirmation is missing, so that hosts need leases of their own soon."""
-        if self.confirmed_at_ms is None or self.lease_ms == inf:
+        """Whether hosts need leases of their own soon, so that those in use are checked ahead."""
+        if self.outdated_at_ms == inf:
             return False
-        return now >= self.confirmed_at_ms + DOUBT_MS
+        return now >= self.outdated_at_ms - RENEWAL_SHARE * self.lease_ms
 
     def log_change(self, now: float) -> None:
         """Log when the list becomes outdated, and when it is up to date again."""
--- a/cherrydoor/routing/messages.py
+++ b/cherrydoor/routing/messages.py
@@ -168,6 +168,12 @@
     at_ms: float
 
 
+class EndpointsRequested(NamedTuple):
+    """The endpoint list's server was asked for all updates at this time, and has yet to answer."""
+
+    at_ms: float
+
+
 class RequestArrived(NamedTuple):
     """A request was accepted.
 
--- a/cherrydoor/routing/router.py
+++ b/cherrydoor/routing/router.py
@@ -81,6 +81,7 @@
         self._handlers: dict[type, Callable[[Any], None]] = {
             messages.EndpointsUpdated: self._update_endpoints,
             messages.EndpointsConfirmed: self._confirm_endpoints,
+            messages.EndpointsRequested: self._request_endpoints,
             messages.RequestArrived: self._accept_request,
             messages.FunctionExpected: self._expect_function,
             messages.StreamStarted: self._start_stream,
@@ -144,6 +145,9 @@
                 host.lease.list_confirmed()
             self.list_lease.log_change(now)
 
+    def _request_endpoints(self, message: messages.EndpointsRequested) -> None:
+        self.list_lease.request(message.at_ms)
+
     def may_get_new_work(self, host_id: str, now: float) -> bool:
         """Whether a host's lease lets attempts and load orders go out to it at this time."""
         host = self.hosts.get(host_id)
