The platform goes by the monotonic clock, and ends before a kill at the earliest time

Cause: the leases would be only as good as the clock. The platform's service read the wall clock for each tick (SystemClock): a step back of an hour froze deadlines, timers and leases, one forward ended all requests at once. The graceful shutdown gave requests 3 s at least where a kill may come after the longest deadline, counted as 3 s at most, and 0.7 s: at 3.5 s where it may come at 3.2 s with deadlines of 2.5 s, and later than any kill with deadlines over 3 s.

Change: spans go by the monotonic clock, log lines carry the wall clock. The shutdown's time is the longest deadline, 3 s at most.

--- a/cherrydoor/codecs/sse.py
+++ b/cherrydoor/codecs/sse.py
@@ -2,11 +2,15 @@
 
 import json
 from dataclasses import dataclass
+from typing import Literal
 
 import h11
 
 LONGEST = 4 << 20  # bytes of one event
-READY, DRAINING, GONE = "ready", "draining", "gone"
+State = Literal["ready", "draining", "gone"]
+READY: State = "ready"
+DRAINING: State = "draining"
+GONE: State = "gone"
 STATES = {"in_service": READY, "terminating": DRAINING, "terminated": GONE}
 
 
@@ -20,7 +24,7 @@
 
     id: str
     address: str
-    state: str
+    state: State
     zone: str
     cell: int
     started: float
--- a/cherrydoor/platform/discovery_watch.py
+++ b/cherrydoor/platform/discovery_watch.py
@@ -9,6 +9,7 @@
 
 from cherrydoor.codecs import sse
 from cherrydoor.gateway.event_loop import address, open_connection
+from cherrydoor.platform.host_starts import HostStarts
 from cherrydoor.protocol import messages as protocol
 from cherrydoor.routing import messages as routing
 
@@ -127,6 +128,7 @@
         self.last_input_s = asyncio.get_running_loop().time()
         self.confirmed_at_ms = service.clock.now()
         self.suspended = False
+        self.host_starts = HostStarts()
 
     def start(self) -> None:
         """Begins to watch."""
@@ -252,23 +254,24 @@
                 connection.end("a revision is missing")
             return
         self.last_revision = update.no
-        self.apply(update, renumbered)
+        self.apply(update, renumbered, self.confirmed_at_ms)
         fields = {"renumbered": True} if renumbered else {}
         self.service.log.write(
             "discovery update applied", revision=update.no, **fields, hosts=state_names(update)
         )
 
-    def apply(self, update: sse.Told, renumbered: bool = False) -> None:
+    def apply(self, update: sse.Told, renumbered: bool = False, not_before_ms: float = 0.0) -> None:
         """Posts the endpoints of an update to the dispatcher.
 
         Args:
             update: The update; one that carries no endpoints changes nothing.
             renumbered: Whether it may be older than what is known, so that drains stay.
+            not_before_ms: When the list did not state what is new in it; 0 for unknown.
         """
         if update.rows is None:
             return
         endpoints = [
-            protocol.Endpoint(entry.id, entry.state, entry.started, entry.zone, entry.cell)
+            self.endpoint_of(entry, not_before_ms)
             for entry in update.rows
             if not (renumbered and entry.state == sse.READY and self.is_draining(entry.id))
         ]
@@ -279,6 +282,14 @@
             {entry.id: entry.address for entry in update.rows if entry.state != sse.GONE},
         )
 
+    def endpoint_of(self, entry: sse.Entry, not_before_ms: float) -> protocol.Endpoint:
+        """Returns an endpoint as the dispatcher gets it."""
+        if entry.state == sse.GONE:
+            self.host_starts.forget(entry.id)
+        now_ms = self.service.clock.now()
+        started_at_ms = self.host_starts.bounded(entry.id, entry.started, now_ms, not_before_ms)
+        return protocol.Endpoint(entry.id, entry.state, started_at_ms, entry.zone, entry.cell)
+
     def is_draining(self, host_id: str) -> bool:
         """Whether a known host drains or is gone."""
         host = self.service.dispatcher.hosts.get(host_id)
--- a/cherrydoor/platform/event_log.py
+++ b/cherrydoor/platform/event_log.py
@@ -18,16 +18,18 @@
     """Writes events; ``last_written`` has one entry for each limited event that code names.
 
     Args:
-        clock: Gives the time in Unix ms.
+        clock: Gives the time in ms by which events are limited; it never goes back.
+        wall_clock: Gives the Unix ms that lines carry.
     """
 
-    def __init__(self, clock: Any) -> None:
+    def __init__(self, clock: Any, wall_clock: Any) -> None:
         self.clock = clock
+        self.wall_clock = wall_clock
         self.last_written: dict[str, LastWritten] = {}
 
     def write(self, event: str, **fields: Any) -> None:
         """Writes one line."""
-        line = json.dumps({"at": round(self.clock.now()), "is": event, **fields})
+        line = json.dumps({"at": round(self.wall_clock.now()), "is": event, **fields})
         print(line, file=sys.stderr, flush=True)
 
     def write_limited(self, event: str, **fields: Any) -> None:
--- a/cherrydoor/platform/graceful_shutdown.py
+++ b/cherrydoor/platform/graceful_shutdown.py
@@ -3,8 +3,10 @@
 from typing import Any
 
 ACCEPTING_S = 0.7  # after SIGTERM for which clients still come: the front learns of it meanwhile
-MIN_DRAIN_S = 3.0  # that requests in flight have at least from then on
-FORCED_END_MARGIN_S = 0.2  # before the drain's time is over: the process is killed then
+# From then on requests in flight have the longest deadline, but this time at most: then the process
+# may be killed.
+MAX_DRAIN_S = 3.0
+FORCED_END_MARGIN_S = 0.2  # before the drain's time is over, and at most half of that time
 FIRST_CHECK_S = 0.1  # from the listener's close to the first check whether clients are left
 CHECK_INTERVAL_S = 0.05  # between such checks
 ENDED, ENDED_WITH_REQUESTS = 0, 3  # exit codes
@@ -33,8 +35,9 @@
         requests = len(service.dispatcher.requests)
         service.log.write_limited("draining", requests=requests)
         service.loop.call_later(ACCEPTING_S, self.close_listener)
-        drain_s = max(MIN_DRAIN_S, service.configuration.longest_deadline_ms / 1000)
-        service.loop.call_later(ACCEPTING_S + drain_s - FORCED_END_MARGIN_S, self.force_end)
+        drain_s = min(MAX_DRAIN_S, service.configuration.longest_deadline_ms / 1000)
+        margin_s = min(FORCED_END_MARGIN_S, drain_s / 2)
+        service.loop.call_later(ACCEPTING_S + drain_s - margin_s, self.force_end)
 
     def close_listener(self) -> None:
         """Accepts nobody any more; requests in flight are answered."""
--- a/cherrydoor/platform/process.py
+++ b/cherrydoor/platform/process.py
@@ -16,7 +16,7 @@
 from cherrydoor.admission.listener import Listener, ListenerSet
 from cherrydoor.codecs import invoke
 from cherrydoor.gateway.dispatcher import Dispatcher
-from cherrydoor.gateway.event_loop import TickingService, address
+from cherrydoor.gateway.event_loop import Clock, TickingService, address
 from cherrydoor.platform import configuration
 from cherrydoor.platform.client_listener import ClientListener
 from cherrydoor.platform.configuration import Configuration, ConfigurationError
@@ -24,7 +24,7 @@
 from cherrydoor.platform.discovery_watch import DiscoveryWatch
 from cherrydoor.platform.event_log import EventLog
 from cherrydoor.platform.graceful_shutdown import GracefulShutdown
-from cherrydoor.platform.resource_usage import PlatformUsage, SystemClock
+from cherrydoor.platform.resource_usage import PlatformUsage, WallClock
 from cherrydoor.platform.upstream import Upstream
 from cherrydoor.routing import Router
 
@@ -62,13 +62,14 @@
         trace: float = 0.0,
         reload_wanted: Callable[[], bool] = no_reload_wanted,
     ) -> None:
-        super().__init__(SystemClock())
+        # Deadlines, leases and graces are spans of real time: a step of the wall clock moves none.
+        super().__init__(Clock())
         self.configuration = configuration
         self.trace = trace
         self.reload_wanted = reload_wanted
         self.ready = False
         self.started_at_ms = self.clock.now()
-        self.log = EventLog(self.clock)
+        self.log = EventLog(self.clock, WallClock())
         self.usage = PlatformUsage(configuration.memory, configuration.descriptors)
         self.listeners = ListenerSet(
             configuration.client_limits, self.clock, self.usage, self.log.write_limited
--- a/cherrydoor/platform/resource_usage.py
+++ b/cherrydoor/platform/resource_usage.py
@@ -6,8 +6,8 @@
 from cherrydoor.admission.usage import ProcessUsage
 
 
-class SystemClock:
-    """The system's Unix time, which the platform judges deadlines by."""
+class WallClock:
+    """The system's Unix time as it is now, for log lines alone: it may be stepped at any time."""
 
     def now(self) -> float:
         """Returns the time in Unix ms."""
--- /dev/null
+++ b/tests/platform/test_clock_steps.py
@@ -0,0 +1,65 @@
+"""Steps of the machine's wall clock while requests are in flight; its monotonic clock runs on."""
+
+import asyncio
+import json
+import time
+
+import pytest
+from platform_harness import with_harness
+
+HOUR_S = 3600.0
+PATIENCE_MS = 400
+
+
+class SteppedClock:
+    """Stands for `time.time`; the test steps it."""
+
+    def __init__(self):
+        self.ahead_s = 0.0
+        self.true_time = time.time
+
+    def __call__(self):
+        return self.true_time() + self.ahead_s
+
+
+@pytest.mark.parametrize("step_s", [HOUR_S, -HOUR_S, 90.0, -3.0])
+def test_a_step_of_the_wall_clock_moves_no_deadline_and_no_lease(tmp_path, monkeypatch, step_s):
+    clock = SteppedClock()
+    monkeypatch.setattr(time, "time", clock)
+
+    @with_harness
+    async def steps(harness):
+        service = await harness.start_within(("a",))
+        host = harness.hosts[0]
+        loop = asyncio.get_running_loop()
+        answers = host.answers
+        host.answers = lambda words: None if words[0] == b"exec" else answers(words)
+        client = await harness.client()
+        began_s = loop.time()
+        client.call(patience=str(PATIENCE_MS))
+        await host.until(b"exec")
+        clock.ahead_s = step_s
+        answer = await client.answer()
+        took_s = loop.time() - began_s
+        assert answer.status == 503 and 0.3 < took_s < 2.0
+        host.answers = answers
+        assert (await harness.handled()).status == 200
+        assert service.dispatcher.router.list_lease.is_current(service.clock.now())
+
+    steps(tmp_path)
+
+
+def test_log_lines_carry_the_wall_clock(tmp_path, monkeypatch, capsys):
+    clock = SteppedClock()
+    monkeypatch.setattr(time, "time", clock)
+
+    @with_harness
+    async def steps(harness):
+        service = await harness.start_within(("a",))
+        clock.ahead_s = HOUR_S
+        service.log.write("stepped")
+
+    steps(tmp_path)
+    lines = [json.loads(line) for line in capsys.readouterr().err.splitlines()]
+    at = {line["is"]: line["at"] for line in lines}
+    assert at["stepped"] - at["ready"] >= HOUR_S * 1000
--- a/tests/platform/test_discovery_and_signals.py
+++ b/tests/platform/test_discovery_and_signals.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from blocking_client import BlockingClient, executed, until
-from platform_harness import with_harness
+from platform_harness import SETTINGS, with_harness
 
 
 @with_harness
@@ -135,3 +135,24 @@
     service.shutdown.force_end()
     assert b"HTTP/1.1 502" in await client.read()
     assert await harness.task == 3
+
+
+@with_harness
+async def test_a_request_in_flight_is_answered_before_a_kill_at_the_earliest_time(harness):
+    deadline_s = 1.0
+    request_class = SETTINGS["requestClasses"][0] | {"aim": 500000, "deadline": deadline_s * 1e6}
+    await harness.start(settings=SETTINGS | {"requestClasses": [request_class]})
+    host = harness.hosts[0]
+    answers = host.answers
+    host.answers = lambda words: None if words[0] == b"exec" else answers(words)
+    client = await harness.client()
+    loop = asyncio.get_running_loop()
+    harness.signal("SIGTERM")
+    terminated_s = loop.time()
+    await harness.until_logged('"is": "draining"')
+    await asyncio.sleep(0.5)
+    client.call(patience="1000")
+    answer = await client.answer()
+    assert await harness.ended() == 3
+    killed_s = terminated_s + 0.7 + deadline_s
+    assert answer.status in (502, 503) and loop.time() < killed_s
--- a/tests/platform/test_event_log.py
+++ b/tests/platform/test_event_log.py
@@ -24,7 +24,7 @@
 
 @pytest.fixture
 def log(clock: SetClock) -> EventLog:
-    return EventLog(clock)
+    return EventLog(clock, clock)
 
 
 def lines(capsys: pytest.CaptureFixture[str]) -> list[dict[str, object]]:
