--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	tests/zone_drain/test_coordinator.py tests/zone_drain/test_waves.py \
 	tests/zone_drain/test_neighbours_and_emptying.py tests/zone_drain/test_operator_commands.py
 
-.PHONY: service rehearse check test lint ci bench bench-doors bench-releases fleet fleet-full variants clean
+.PHONY: service rehearse check test lint ci soak bench bench-doors bench-releases fleet fleet-full variants clean
 # what the platform's gateway needs, and its byte code, as the file system is read-only in service
 service:
 	test -x $(PY) || python3 -m venv .venv
@@ -41,6 +41,13 @@
 	$(PY) -m pip install -q --disable-pip-version-check --no-deps -e .
 	touch $(READY)
 
+# Soaks by hand: make soak SEED=1 RUNS=50 BESIDE=4. CI plays three fixed seeds (tests/soak).
+SEED := 1
+RUNS := 1
+BESIDE := 1
+soak: $(READY)
+	$(PY) tests/soak/soak_run.py --seed $(SEED) --runs $(RUNS) --beside $(BESIDE) --logs found/soak
+
 clean:
 	rm -rf .venv found
 
