The endpoint stream's codec in standard terms, typed, with one function a step

Readability: Told, told(), Entry and Reader are EndpointUpdate, read_update(), ListedEndpoint and UpdateReader; fields say their units.

--- a/cherrydoor/codecs/__init__.py
+++ b/cherrydoor/codecs/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's wires, bytes to notes and back: no I/O, no clock, and nothing of ours but this package."""
+"""The platform's wires, bytes to messages and back: no I/O, no clock, nothing of other packages."""
--- a/cherrydoor/codecs/sse.py
+++ b/cherrydoor/codecs/sse.py
@@ -1,135 +1,181 @@
-"""The platform's bulletin: server-sent events over HTTP/1.1 (on h11), and the changes of the list that they carry."""
+"""The platform's endpoint stream: server-sent events over HTTP/1.1 (on h11), no I/O.
+
+Each event carries the changes of the endpoint list under a revision, or the whole list.
+"""
 
 import json
 from dataclasses import dataclass
-from typing import Literal
+from typing import Any, Literal
 
 import h11
 
-LONGEST = 4 << 20  # bytes of one event
+MAX_EVENT_BYTES = 4 << 20
+MAX_PORT = 65535
+QUOTED_CHARACTERS = 40  # of a value that is wrong, in an error's text
+
 State = Literal["ready", "draining", "gone"]
 READY: State = "ready"
 DRAINING: State = "draining"
 GONE: State = "gone"
-STATES = {"in_service": READY, "terminating": DRAINING, "terminated": GONE}
+STATES: dict[str, State] = {"in_service": READY, "terminating": DRAINING, "terminated": GONE}
 
 
-class Unreadable(Exception):
-    """What came is no bulletin."""
+class UnreadableError(Exception):
+    """What came is no endpoint stream; the text names the field that is wrong."""
 
 
 @dataclass(slots=True)
-class Entry:
-    """A host as the list has it; started: ms since 1970, 0 long ago."""
+class ListedEndpoint:
+    """A host as the endpoint list has it.
+
+    Attributes:
+        id: The host's id.
+        address: Its address:port.
+        state: Its state.
+        zone: Its zone, "" where none is stated.
+        cell: Number of the group of hosts that drop each other's repeats.
+        started_at_ms: When it started, in Unix ms; 0 for long ago.
+    """
 
     id: str
     address: str
     state: State
     zone: str
     cell: int
-    started: float
+    started_at_ms: float
 
 
 @dataclass(slots=True)
-class Told:
-    """Event number `no`: what has changed, or where `whole` all there is. rows is None for what is no list."""
+class EndpointUpdate:
+    """One event of the stream.
+
+    Attributes:
+        revision: Its number.
+        is_snapshot: Whether it holds the whole list, not the changes alone.
+        endpoints: The endpoints in it; None where the event carries none.
+    """
 
-    no: int
-    whole: bool
-    rows: list | None
+    revision: int
+    is_snapshot: bool
+    endpoints: list[ListedEndpoint] | None
 
 
-def told(item):
-    """An event's data, read; Unreadable names the field that is wrong."""
+def read_update(event: Any) -> EndpointUpdate:
+    """Returns the update that an event's JSON value holds.
+
+    Raises:
+        UnreadableError: A field is missing or cannot be used.
+    """
     try:
-        no, roster = item["no"], item.get("roster")
-        if type(no) is not int or no < 0:
-            raise Unreadable(f"no: a number expected, not {str(no)[:40]!r}")
+        revision = event["no"]
+        if type(revision) is not int or revision < 0:
+            raise UnreadableError(f"no: a number expected, not {quoted(revision)}")
+        roster = event.get("roster")
         if roster is None:
-            return Told(no, False, None)
-        rows = []
-        for one in roster["instances"]:
-            state = STATES.get(one["lifecycle"])
-            if state is None:
-                raise Unreadable(
-                    f"roster.instances.lifecycle: not known: {str(one['lifecycle'])[:40]!r}"
-                )
-            host, _, port = one["hostPort"].rpartition(":")
-            if not host or not port.isdigit() or not 0 < int(port) < 65536:
-                raise Unreadable(f"roster.instances.hostPort: no address: {one['hostPort'][:40]!r}")
-            rows.append(
-                Entry(
-                    str(one["instanceId"]),
-                    one["hostPort"],
-                    state,
-                    str(one.get("zone", "")),
-                    int(one.get("cell") or 0),
-                    float(one.get("startedAtMs") or 0),
-                )
-            )
-        return Told(no, bool(roster.get("reset")), rows)
+            return EndpointUpdate(revision, False, None)
+        endpoints = [read_endpoint(instance) for instance in roster["instances"]]
+        return EndpointUpdate(revision, bool(roster.get("reset")), endpoints)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise Unreadable(f"{type(error).__name__}: {error}") from None
-
-
-def request(where, last):
-    """The bytes that ask for all events after number `last`."""
+        raise UnreadableError(f"{type(error).__name__}: {error}") from None
+
+
+def read_endpoint(instance: Any) -> ListedEndpoint:
+    """Returns one endpoint of an event; errors as ``read_update``."""
+    state = STATES.get(instance["lifecycle"])
+    if state is None:
+        found = quoted(instance["lifecycle"])
+        raise UnreadableError(f"roster.instances.lifecycle: not known: {found}")
+    address = instance["hostPort"]
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        raise UnreadableError(f"roster.instances.hostPort: no address: {quoted(address)}")
+    return ListedEndpoint(
+        str(instance["instanceId"]),
+        address,
+        state,
+        str(instance.get("zone", "")),
+        int(instance.get("cell") or 0),
+        float(instance.get("startedAtMs") or 0),
+    )
+
+
+def quoted(value: object) -> str:
+    """Returns the beginning of a value for an error's text."""
+    return repr(str(value)[:QUOTED_CHARACTERS])
+
+
+def watch_request(server: str, last_revision: int) -> bytes:
+    """Returns the request for all updates after a revision."""
     return (
-        f"GET /bulletins HTTP/1.1\r\nHost: {where}\r\nAccept: text/event-stream\r\n"
-        f"Last-Event-ID: {last}\r\n\r\n"
+        f"GET /bulletins HTTP/1.1\r\nHost: {server}\r\nAccept: text/event-stream\r\n"
+        f"Last-Event-ID: {last_revision}\r\n\r\n"
     ).encode()
 
 
-class Reader:
-    """Fed bytes, gives Tolds of whole events.
+class UpdateReader:
+    """Reads the answer to a watch request, from bytes to complete updates.
 
     Attributes:
         lines: Complete lines so far, each a sign of life.
         comments: Those of them that are comments.
     """
 
-    def __init__(self):
-        self.http = h11.Connection(h11.CLIENT)
-        self.http.send(
+    def __init__(self) -> None:
+        self.lines = 0
+        self.comments = 0
+        self._incomplete_line = b""
+        self._data_lines: list[bytes] = []
+        self._http = h11.Connection(h11.CLIENT)
+        self._http.send(
             h11.Request(method="GET", target="/bulletins", headers=[("Host", "bulletin")])
         )
-        self.http.send(h11.EndOfMessage())
-        self.held, self.data, self.lines, self.began = b"", [], 0, False
-        self.comments = 0
+        self._http.send(h11.EndOfMessage())
 
-    def feed(self, data):
-        found = []
+    def feed(self, data: bytes) -> list[EndpointUpdate]:
+        """Returns the updates that are complete with these bytes.
+
+        Raises:
+            UnreadableError: It is no answer of an endpoint stream.
+        """
+        updates: list[EndpointUpdate] = []
         try:
-            self.http.receive_data(data)
+            self._http.receive_data(data)
             while True:
-                event = self.http.next_event()
-                kind = type(event)
-                if kind is h11.Response:
+                event = self._http.next_event()
+                if type(event) is h11.Response:
                     if event.status_code != 200:
-                        raise Unreadable(f"the bulletin answers {event.status_code}")
-                    self.began = True
-                elif kind is h11.Data:
-                    self.text(bytes(event.data), found)
-                elif event is h11.NEED_DATA or event is h11.PAUSED:
-                    return found
-                elif kind is h11.EndOfMessage or kind is h11.ConnectionClosed:
-                    return found
+                        raise UnreadableError(f"the bulletin answers {event.status_code}")
+                elif type(event) is h11.Data:
+                    updates += self._read_lines(bytes(event.data))
+                elif type(event) is not h11.InformationalResponse:
+                    return updates  # the end, or more bytes are needed
         except h11.RemoteProtocolError as error:
-            raise Unreadable(str(error)) from None
-
-    def text(self, data, found):
-        *lines, self.held = (self.held + data).split(b"\n")
-        if len(self.held) + sum(map(len, self.data)) > LONGEST:
-            raise Unreadable("an event that does not end")
+            raise UnreadableError(str(error)) from None
+
+    def _read_lines(self, data: bytes) -> list[EndpointUpdate]:
+        *lines, self._incomplete_line = (self._incomplete_line + data).split(b"\n")
+        held = len(self._incomplete_line) + sum(map(len, self._data_lines))
+        if held > MAX_EVENT_BYTES:
+            raise UnreadableError("an event that does not end")
+        updates = []
         for line in lines:
-            line = line.rstrip(b"\r")
-            self.lines += 1
-            self.comments += line.startswith(b":")
-            if line.startswith(b"data:"):
-                self.data.append(line[5:].removeprefix(b" "))
-            elif not line and self.data:
-                whole, self.data = b"\n".join(self.data), []
-                try:
-                    found.append(told(json.loads(whole)))
-                except ValueError as error:
-                    raise Unreadable(f"an event's data: {error}") from None
+            update = self._read_line(line.rstrip(b"\r"))
+            if update is not None:
+                updates.append(update)
+        return updates
+
+    def _read_line(self, line: bytes) -> EndpointUpdate | None:
+        """Returns the update that ends with this line, if one does."""
+        self.lines += 1
+        if line.startswith(b":"):
+            self.comments += 1
+        elif line.startswith(b"data:"):
+            self._data_lines.append(line[5:].removeprefix(b" "))
+        elif not line and self._data_lines:
+            text = b"\n".join(self._data_lines)
+            self._data_lines = []
+            try:
+                return read_update(json.loads(text))
+            except ValueError as error:
+                raise UnreadableError(f"an event's data: {error}") from None
+        return None
--- a/cherrydoor/platform/configuration.py
+++ b/cherrydoor/platform/configuration.py
@@ -37,7 +37,7 @@
     """The endpoints that a configuration carries."""
 
     revision: int
-    updates: list[sse.Told]
+    updates: list[sse.EndpointUpdate]
 
 
 def checked_address(text: Any, place: str) -> str:
@@ -208,7 +208,7 @@
         """Returns how many of the known endpoints are not gone."""
         states = {}
         for update in self.known_endpoints.updates:
-            for entry in update.rows or ():
+            for entry in update.endpoints or ():
                 states[entry.id] = entry.state
         return sum(state != sse.GONE for state in states.values())
 
@@ -234,8 +234,8 @@
     require(type(revision) is int and revision >= 0, "known.no", "a number", revision)
     require(isinstance(items, list), "known.items", "a list", items)
     try:
-        return KnownEndpoints(revision, [sse.told(item) for item in items])
-    except sse.Unreadable as error:
+        return KnownEndpoints(revision, [sse.read_update(item) for item in items])
+    except sse.UnreadableError as error:
         raise ConfigurationError("known.items", str(error)) from None
 
 
--- a/cherrydoor/platform/discovery_watch.py
+++ b/cherrydoor/platform/discovery_watch.py
@@ -26,9 +26,9 @@
 SILENT = "silent"  # why a connection ended that is not counted as a failure: it had been open
 
 
-def state_names(update: sse.Told) -> dict[str, str]:
+def state_names(update: sse.EndpointUpdate) -> dict[str, str]:
     """Returns the states of the first hosts of an update, for the log."""
-    return {entry.id: entry.state for entry in (update.rows or ())[:LOGGED_HOSTS]}
+    return {entry.id: entry.state for entry in (update.endpoints or ())[:LOGGED_HOSTS]}
 
 
 class WatchConnection(asyncio.Protocol):
@@ -49,7 +49,7 @@
     def __init__(self, watch: "DiscoveryWatch", server: str) -> None:
         self.watch = watch
         self.server = server
-        self.reader = sse.Reader()
+        self.reader = sse.UpdateReader()
         self.transport: Any = None
         self.ended: asyncio.Future[str] = asyncio.get_running_loop().create_future()
         self.last_input_s = 0.0
@@ -64,7 +64,7 @@
         if self.ended.done():  # it was ended, or the stream moved, while the connection was dialled
             self.transport.abort()
             return
-        self.transport.write(sse.request(self.server, self.watch.last_revision))
+        self.transport.write(sse.watch_request(self.server, self.watch.last_revision))
         service = self.watch.service
         service.post(service.dispatcher.endpoints_requested, service.clock.now())
 
@@ -81,7 +81,7 @@
                     return
                 self.updates_received += 1
                 self.watch.update_received(update, self)
-        except sse.Unreadable as error:
+        except sse.UnreadableError as error:
             self.end(str(error))
         open_s = self.last_input_s - self.first_input_s
         if self.reader.comments > comments_before and open_s >= CONFIRMING_AFTER_S:
@@ -225,7 +225,9 @@
             if self.connection:
                 self.connection.end("the discovery server has moved")
 
-    def update_received(self, update: sse.Told, connection: WatchConnection | None = None) -> None:
+    def update_received(
+        self, update: sse.EndpointUpdate, connection: WatchConnection | None = None
+    ) -> None:
         """Applies an update once, whichever connection brings it.
 
         Where a revision is missing the stream is asked anew from the last one applied, once: a
@@ -240,27 +242,32 @@
         renumbered = (
             connection is not None
             and connection.updates_received == 1
-            and update.whole
-            and update.no < self.last_revision
+            and update.is_snapshot
+            and update.revision < self.last_revision
         )
-        if update.no <= self.last_revision and not renumbered:
+        if update.revision <= self.last_revision and not renumbered:
             counters["discovery updates duplicated"] += 1
             return
-        skips_revision = not update.whole and update.no > self.last_revision + 1
-        if skips_revision and (connection is None or self.missing_before != update.no):
+        skips_revision = not update.is_snapshot and update.revision > self.last_revision + 1
+        if skips_revision and (connection is None or self.missing_before != update.revision):
             counters["discovery updates missing"] += 1
             if connection is not None:
-                self.missing_before = update.no
+                self.missing_before = update.revision
                 connection.end("a revision is missing")
             return
-        self.last_revision = update.no
+        self.last_revision = update.revision
         self.apply(update, renumbered, self.confirmed_at_ms)
         fields = {"renumbered": True} if renumbered else {}
         self.service.log.write(
-            "discovery update applied", revision=update.no, **fields, hosts=state_names(update)
+            "discovery update applied",
+            revision=update.revision,
+            **fields,
+            hosts=state_names(update),
         )
 
-    def apply(self, update: sse.Told, renumbered: bool = False, not_before_ms: float = 0.0) -> None:
+    def apply(
+        self, update: sse.EndpointUpdate, renumbered: bool = False, not_before_ms: float = 0.0
+    ) -> None:
         """Posts the endpoints of an update to the dispatcher.
 
         Args:
@@ -268,26 +275,28 @@
             renumbered: Whether it may be older than what is known, so that drains stay.
             not_before_ms: When the list did not state what is new in it; 0 for unknown.
         """
-        if update.rows is None:
+        if update.endpoints is None:
             return
         endpoints = [
             self.endpoint_of(entry, not_before_ms)
-            for entry in update.rows
+            for entry in update.endpoints
             if not (renumbered and entry.state == sse.READY and self.is_draining(entry.id))
         ]
         self.service.post(
             self.service.upstream.endpoints_received,
-            routing.UpdateKind.SNAPSHOT if update.whole else routing.UpdateKind.INCREMENTAL,
+            routing.UpdateKind.SNAPSHOT if update.is_snapshot else routing.UpdateKind.INCREMENTAL,
             endpoints,
-            {entry.id: entry.address for entry in update.rows if entry.state != sse.GONE},
+            {entry.id: entry.address for entry in update.endpoints if entry.state != sse.GONE},
         )
 
-    def endpoint_of(self, entry: sse.Entry, not_before_ms: float) -> protocol.Endpoint:
+    def endpoint_of(self, entry: sse.ListedEndpoint, not_before_ms: float) -> protocol.Endpoint:
         """Returns an endpoint as the dispatcher gets it."""
         if entry.state == sse.GONE:
             self.host_starts.forget(entry.id)
         now_ms = self.service.clock.now()
-        started_at_ms = self.host_starts.bounded(entry.id, entry.started, now_ms, not_before_ms)
+        started_at_ms = self.host_starts.bounded(
+            entry.id, entry.started_at_ms, now_ms, not_before_ms
+        )
         return protocol.Endpoint(entry.id, entry.state, started_at_ms, entry.zone, entry.cell)
 
     def is_draining(self, host_id: str) -> bool:
--- a/tests/compatibility/platform_bytes.py
+++ b/tests/compatibility/platform_bytes.py
@@ -86,8 +86,8 @@
 
 def requests_for_the_host_list():
     """Bytes by which the list of hosts is followed."""
-    yield "sse request", sse.request("bulletin:80", 0)
-    yield "sse request again", sse.request("bulletin:80", 41)
+    yield "sse request", sse.watch_request("bulletin:80", 0)
+    yield "sse request again", sse.watch_request("bulletin:80", 41)
 
 
 def lines_of_the_adapter():
--- a/tests/compatibility/test_wire_bytes.py
+++ b/tests/compatibility/test_wire_bytes.py
@@ -244,7 +244,7 @@
 
 
 def test_host_list_events_are_read_as_before():
-    whole, nothing = sse.Reader().feed(BULLETIN)
+    whole, nothing = sse.UpdateReader().feed(BULLETIN)
     assert astuple(whole) == (
         3,
         True,
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -227,26 +227,28 @@
         + b'\n\nid: 42\ndata: {"no": 42'
     )
     for step in (1, 3, len(text)):
-        reader = sse.Reader()
+        reader = sse.UpdateReader()
         found = [
             update
             for at in range(0, len(text), step)
             for update in reader.feed(text[at : at + step])
         ]
         assert found == [
-            sse.Told(41, False, [sse.Entry("s-1", "10.1.0.9:10080", "draining", "east", 2, 5.0)])
+            sse.EndpointUpdate(
+                41, False, [sse.ListedEndpoint("s-1", "10.1.0.9:10080", "draining", "east", 2, 5.0)]
+            )
         ]
 
 
 def test_a_chunked_discovery_stream_reads_the_same():
     data = b"data: " + json.dumps(EVENT).encode() + b"\n\n"
-    reader = sse.Reader()
+    reader = sse.UpdateReader()
     reader.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
     half = len(data) // 2
     found = reader.feed(b"%x\r\n%b\r\n" % (half, data[:half])) + reader.feed(
         b"%x\r\n%b\r\n" % (len(data) - half, data[half:])
     )
-    assert [update.no for update in found] == [41]
+    assert [update.revision for update in found] == [41]
 
 
 @pytest.mark.parametrize(
@@ -262,5 +264,5 @@
     ],
 )
 def test_a_malformed_discovery_stream_is_unreadable(data):
-    with pytest.raises(sse.Unreadable):
-        sse.Reader().feed(data)
+    with pytest.raises(sse.UnreadableError):
+        sse.UpdateReader().feed(data)
