Tests of what may pass for news of the endpoint list and is none

SIGHUP with a file that cannot be read yet, input that is read after a stall, a new connection before what was missed, a server that answers late, a new dispatcher.

--- a/tests/platform/test_discovery_outage.py
+++ b/tests/platform/test_discovery_outage.py
@@ -22,7 +22,9 @@
 
 import asyncio
 import contextlib
+import time
 
+from blocking_client import until
 from platform_harness import SETTINGS, reply, with_harness
 
 GRACE_S = 0.5
@@ -100,3 +102,83 @@
     assert not late, f"{len(late)} sends to a draining host after its grace"
     after = [status for time, status in answers if time > forbidden_from_s]
     assert len(after) > 100 and after.count(200) > 0.95 * len(after)
+
+
+# ---- related paths: what may pass for news, and is none
+
+
+async def until_settled(harness):
+    """Waits until the stream confirms the endpoint list; returns the watch."""
+    service = await harness.start_within(settings=OUTAGE_SETTINGS)
+    watch = service.discovery_watch
+    await until(lambda: watch.connection is not None and watch.connection.settled)
+    return watch
+
+
+@with_harness
+async def test_after_sighup_the_old_stream_confirms_nothing_until_the_file_is_read(harness):
+    watch = await until_settled(harness)
+    file = harness.path / "config.json"
+    whole = file.read_text()
+    file.write_text(whole[:20])
+    watch.service.reload.start()
+    confirmed_at_ms = watch.confirmed_at_ms
+    lines = watch.connection.reader.lines
+    await until(lambda: watch.connection.reader.lines > lines)
+    assert watch.confirmed_at_ms == confirmed_at_ms
+    file.write_text(whole)
+    watch.service.reload.start()
+    await until(lambda: watch.confirmed_at_ms > confirmed_at_ms)
+
+
+@with_harness
+async def test_what_is_read_after_a_stall_confirms_the_list_as_of_before_it(harness):
+    watch = await until_settled(harness)
+    last_tick_ms = watch.service.dispatcher.now
+    time.sleep(0.3)  # the process stands still: nothing runs, input waits
+    watch.connection.data_received(b": still here\n\n")
+    assert watch.confirmed_at_ms == last_tick_ms <= watch.service.clock.now() - 300
+
+
+@with_harness
+async def test_a_new_connection_confirms_the_list_only_after_what_was_missed(harness):
+    watch = await until_settled(harness)
+    harness.discovery_servers[0].cut()
+    first = watch.connection
+    await until(lambda: watch.connection is not first)
+    await until(lambda: watch.connection.first_input_s is not None)
+    confirmed_at_ms = watch.confirmed_at_ms
+    watch.connection.data_received(b": early\n\n")
+    assert not watch.connection.settled and watch.confirmed_at_ms == confirmed_at_ms
+    await until(lambda: watch.confirmed_at_ms > confirmed_at_ms)
+
+
+@with_harness
+async def test_a_server_that_answers_late_is_waited_for_longer_at_the_next_try(harness):
+    await harness.start(("a", "b"))
+    discovery = harness.discovery_servers[0]
+    await discovery.until_asked(1)
+    serve = discovery.serve
+
+    async def serve_late(reader, writer):
+        await asyncio.sleep(2.2)  # more than the watch waits at first, less than at the second try
+        await serve(reader, writer)
+
+    discovery.server.close()
+    discovery.cut()
+    discovery.server = await asyncio.start_server(serve_late, "127.0.0.1", discovery.port)
+    discovery.updates.append(harness.update(2, a="terminating"))
+    await harness.until_applied(2)
+
+
+@with_harness
+async def test_a_new_dispatcher_knows_how_old_the_list_is(harness):
+    watch = await until_settled(harness)
+    service = watch.service
+    harness.discovery_servers[0].server.close()
+    harness.discovery_servers[0].cut()
+    await until(lambda: watch.connection.ended.done())
+    service.restart()
+    lease = service.dispatcher.router.list_lease
+    await until(lambda: lease.confirmed_at_ms is not None)
+    assert lease.confirmed_at_ms == watch.confirmed_at_ms
