--- a/tests/platform/test_discovery_outage.py
+++ b/tests/platform/test_discovery_outage.py
@@ -182,3 +182,15 @@
     lease = service.dispatcher.router.list_lease
     await until(lambda: lease.confirmed_at_ms is not None)
     assert lease.confirmed_at_ms == watch.confirmed_at_ms
+
+
+@with_harness
+async def test_what_waited_for_a_connection_is_held_back_once_the_lease_has_ended(harness):
+    service = await harness.start_within(settings=OUTAGE_SETTINGS)
+    host = harness.hosts[0]
+    service.dispatcher.router.may_get_new_work = lambda host_id, now_ms: False
+    assert (await harness.handled()).status == 503
+    assert service.dispatcher.counters["held back: the host has no lease"] >= 1
+    assert not host.commands(b"exec") and not host.commands(b"ensure")
+    del service.dispatcher.router.may_get_new_work
+    assert (await harness.handled()).status == 200
