A gateway that starts during an outage holds its first list for the grace alone

It took the moment at which its service was made for the list's age, and 1.8 s of notice more, though what the stream had counted as told already.

Change: the first list is as old as the process, and counts as asked for from then on (DiscoveryWatch.requested_at_ms); both outlive a restart of the dispatcher. A host that fails its checks again and again is checked less often, 0.5 to 4 s.

--- a/cherrydoor/platform/discovery_watch.py
+++ b/cherrydoor/platform/discovery_watch.py
@@ -65,8 +65,7 @@
             self.transport.abort()
             return
         self.transport.write(sse.watch_request(self.server, self.watch.last_revision))
-        service = self.watch.service
-        service.post(service.dispatcher.endpoints_requested, service.clock.now())
+        self.watch.updates_requested()
 
     def data_received(self, data: bytes) -> None:
         """Hands complete updates to the watch; what cannot be read ends the connection."""
@@ -108,17 +107,19 @@
         service: The gateway's service.
         server: The stream's address:port.
         last_revision: Revision that the configuration's own endpoints include.
+        listed_at_ms: When these were up to date, in ms of the service's clock.
 
     Attributes:
         last_revision: Of the last update that was applied.
         missing_before: Revision before which one is missing and was asked for, if there is such.
         connection: The latest connection.
         confirmed_at_ms: When the endpoint list was last up to date, in ms of the service's clock.
+        requested_at_ms: When updates were first asked for since; None where they were not.
         suspended: Whether the stream may have moved, so that what comes confirms nothing.
         last_input_s: When the stream last sent anything, in s of the loop's clock.
     """
 
-    def __init__(self, service: Any, server: str, last_revision: int) -> None:
+    def __init__(self, service: Any, server: str, last_revision: int, listed_at_ms: float) -> None:
         self.service = service
         self.server = server
         self.last_revision = last_revision
@@ -126,7 +127,10 @@
         self.task: asyncio.Task[None] | None = None
         self.connection: WatchConnection | None = None
         self.last_input_s = asyncio.get_running_loop().time()
-        self.confirmed_at_ms = service.clock.now()
+        # The first list is as old as this process. The stream may have been out of reach for long
+        # when it started, so what is missing from that list counts as told from then on.
+        self.confirmed_at_ms = listed_at_ms
+        self.requested_at_ms: float | None = listed_at_ms
         self.suspended = False
         self.host_starts = HostStarts()
 
@@ -204,11 +208,22 @@
         """
         if not self.suspended:
             self.confirmed_at_ms = max(self.confirmed_at_ms, self.service.dispatcher.now)
-            self.post_confirmation()
-
-    def post_confirmation(self) -> None:
-        """Posts when the endpoint list was last up to date, also to a dispatcher that is new."""
-        self.service.post(self.service.dispatcher.endpoints_confirmed, self.confirmed_at_ms)
+            if self.requested_at_ms is not None and self.requested_at_ms <= self.confirmed_at_ms:
+                self.requested_at_ms = None
+            self.post_list_age()
+
+    def updates_requested(self) -> None:
+        """Notifies the dispatcher that the stream was asked for updates."""
+        if self.requested_at_ms is None:
+            self.requested_at_ms = self.service.clock.now()
+        self.post_list_age()
+
+    def post_list_age(self) -> None:
+        """Posts when the list was last up to date and asked for, also to a new dispatcher."""
+        dispatcher = self.service.dispatcher
+        self.service.post(dispatcher.endpoints_confirmed, self.confirmed_at_ms)
+        if self.requested_at_ms is not None:
+            self.service.post(dispatcher.endpoints_requested, self.requested_at_ms)
 
     def suspend(self) -> None:
         """Lets the stream confirm nothing until ``resume``: a new configuration may move it."""
--- a/cherrydoor/platform/process.py
+++ b/cherrydoor/platform/process.py
@@ -6,6 +6,7 @@
 import resource
 import signal
 import sys
+import time
 import traceback
 from collections.abc import Callable
 from pathlib import Path
@@ -48,6 +49,7 @@
         path: Its file, for reloads.
         trace: ms between lines of the trace; 0 for none.
         reload_wanted: Whether SIGHUP came before this service could act on it.
+        start_duration_ms: How long the process ran before it made this service.
 
     Attributes:
         dispatcher: The present one; a fault in it begins another.
@@ -61,6 +63,7 @@
         path: str | Path,
         trace: float = 0.0,
         reload_wanted: Callable[[], bool] = no_reload_wanted,
+        start_duration_ms: float = 0.0,
     ) -> None:
         # Deadlines, leases and graces are spans of real time: a step of the wall clock moves none.
         super().__init__(Clock())
@@ -81,10 +84,15 @@
         self.shutdown = GracefulShutdown(self)
         self.reload = ConfigurationReload(self, path)
         known = configuration.known_endpoints
-        self.discovery_watch = DiscoveryWatch(self, configuration.discovery_server, known.revision)
+        self.discovery_watch = DiscoveryWatch(
+            self,
+            configuration.discovery_server,
+            known.revision,
+            self.clock.now() - start_duration_ms,
+        )
         for update in known.updates:
             self.discovery_watch.apply(update)
-        self.discovery_watch.post_confirmation()
+        self.discovery_watch.post_list_age()
 
     def new_dispatcher(self) -> Dispatcher:
         """Returns a dispatcher without hosts and requests."""
@@ -187,7 +195,7 @@
         self.dispatcher.counters.update(failed.counters)
         self.dispatcher.counters["dispatcher restarts"] += 1
         self.post(self.dispatcher.endpoints_updated, "saved", endpoints)
-        self.discovery_watch.post_confirmation()
+        self.discovery_watch.post_list_age()
 
     def log_ready(self) -> None:
         """Logs what the gateway starts with."""
@@ -298,7 +306,13 @@
         print(f"cherrydoor platform: {error}", file=sys.stderr)
         return BAD_CONFIGURATION
 
+    # Until here the process has only computed, on the cores that it may use.
+    start_duration_ms = time.process_time() * 1000 / (min(1.0, found.cores) or 1.0)
+
+    def reload_wanted() -> bool:
+        return bool(early_reloads)
+
     async def serve() -> int:
-        return await PlatformService(found, path, trace, lambda: bool(early_reloads)).run()
+        return await PlatformService(found, path, trace, reload_wanted, start_duration_ms).run()
 
     return uvloop.run(serve())
--- a/cherrydoor/routing/endpoint_leases.py
+++ b/cherrydoor/routing/endpoint_leases.py
@@ -29,7 +29,10 @@
 LIST_NOTICE_MS = 1800.0
 RENEWAL_SHARE = 0.5  # of a lease after which a host that is in use is checked again
 CHECK_SHARE = 0.5  # of a lease that a check may take: a busy host answers late
-RECHECK_MS = 500.0  # a host that has failed its check is not checked again for so long
+# A host that has failed its check is not checked again for so long, doubled with each failure in a
+# row so often at most: a machine that is gone costs the request that waits for its check.
+RECHECK_MS = 500.0
+MAX_RECHECK_DOUBLINGS = 3
 # A host that failed its checks for so long may be another process when it is back. Guards against
 # a cold process that is taken for a warm one; harms where a path to the host was broken for longer.
 RESTART_MS = 1000.0
@@ -114,6 +117,7 @@
     __slots__ = (
         "_context",
         "_denied",
+        "_failed_checks",
         "_failing_since_ms",
         "_host",
         "_list",
@@ -130,6 +134,7 @@
         self._used_at_ms = -inf
         self._next_check_ms = -inf
         self._denied = False
+        self._failed_checks = 0  # in a row
         self._failing_since_ms = inf  # since its last success; infinite while it does not fail
 
     def holds(self, now: float) -> bool:
@@ -179,9 +184,12 @@
             if self._denied:
                 self._log("gets new work again: it passed its health check")
             self._denied = False
+            self._failed_checks = 0
             self._failing_since_ms = inf
             return
-        self._next_check_ms = now + RECHECK_MS
+        doublings = min(self._failed_checks, MAX_RECHECK_DOUBLINGS)
+        self._next_check_ms = now + RECHECK_MS * 2**doublings
+        self._failed_checks += 1
         if outcome in (AttemptOutcome.NO_RESPONSE, AttemptOutcome.NOT_SENT):
             return
         self._renewed_at_ms = -inf
@@ -216,6 +224,7 @@
         self._renewed_at_ms = -inf
         self._next_check_ms = -inf
         self._denied = False
+        self._failed_checks = 0
         self._failing_since_ms = inf
 
     def _log(self, text: str) -> None:
--- a/tests/platform/test_discovery_outage.py
+++ b/tests/platform/test_discovery_outage.py
@@ -104,6 +104,23 @@
     assert len(after) > 100 and after.count(200) > 0.95 * len(after)
 
 
+@with_harness
+async def test_a_gateway_that_starts_during_an_outage_sends_nothing_new_after_a_drain(harness):
+    await harness.built(("a", "b", "c"))
+    harness.discovery_servers[0].server.close()
+    harness.run(harness.configuration(settings=OUTAGE_SETTINGS))
+    await harness.ready()
+    arrivals = Arrivals(harness.hosts[0])
+    arrivals.answers = draining
+    # The outage had begun long before: a drain counts as told as it begins.
+    forbidden_from_s = asyncio.get_running_loop().time() + GRACE_S + SLACK_S
+    answers = []
+    clients = (send_until(harness, forbidden_from_s + PROOF_S, answers) for _ in range(CLIENTS))
+    await asyncio.gather(*clients)
+    assert not arrivals.after(forbidden_from_s)
+    assert [status for _, status in answers].count(200) > 0.95 * len(answers)
+
+
 # ---- related paths: what may pass for news, and is none
 
 
--- a/tests/routing/test_endpoint_leases.py
+++ b/tests/routing/test_endpoint_leases.py
@@ -201,6 +201,18 @@
     assert host.slow_start.level(fleet.now) == 1.0, "the list knows of no restart"
 
 
+def test_a_host_that_fails_again_and_again_is_checked_less_and_less_often():
+    fleet, _ = outdated_fleet("a")
+    checked_at_ms = []
+    while len(checked_at_ms) < 6:
+        _, actions = fleet.request(FUNCTION, later=10.0)
+        if checks(actions):
+            checked_at_ms.append(fleet.now)
+            end_check(fleet, "a", AttemptOutcome.CONNECT_FAILED, later=0.0)
+    gaps_ms = [b - a for a, b in zip(checked_at_ms, checked_at_ms[1:], strict=False)]
+    assert gaps_ms == [500.0, 1000.0, 2000.0, 4000.0, 4000.0]
+
+
 def test_a_host_that_failed_for_a_moment_is_not_in_slow_start():
     fleet, home = outdated_fleet()
     fleet.request(FUNCTION)
