A log that cannot be written ends nothing; the trace is a module of its own

Cause: lines are now written within ticks (refusals, the router's log). A full disk or a reader that has gone would have raised there, and the dispatcher would have started anew with all requests failed. Lines that cannot be written are counted and told in the next one.

--- a/cherrydoor/platform/event_log.py
+++ b/cherrydoor/platform/event_log.py
@@ -17,6 +17,8 @@
 class EventLog:
     """Writes events; ``last_written`` has one entry for each limited event that code names.
 
+    A line that cannot be written is counted and left out: what is logged goes on all the same.
+
     Args:
         clock: Gives the time in ms by which events are limited; it never goes back.
         wall_clock: Gives the Unix ms that lines carry.
@@ -26,11 +28,24 @@
         self.clock = clock
         self.wall_clock = wall_clock
         self.last_written: dict[str, LastWritten] = {}
+        self.unwritten_lines = 0  # since the last line that could be written
 
     def write(self, event: str, **fields: Any) -> None:
         """Writes one line."""
-        line = json.dumps({"at": round(self.wall_clock.now()), "is": event, **fields})
-        print(line, file=sys.stderr, flush=True)
+        entry = {"at": round(self.wall_clock.now()), "is": event, **fields}
+        if self.unwritten_lines:
+            entry["unwritten_lines"] = self.unwritten_lines
+        if self.write_text(json.dumps(entry)):
+            self.unwritten_lines = 0
+
+    def write_text(self, text: str) -> bool:
+        """Writes lines as they are; returns whether they could be written."""
+        try:
+            print(text, file=sys.stderr, flush=True)
+        except (OSError, ValueError):  # a full disk, a reader that has gone, a closed stream
+            self.unwritten_lines += 1
+            return False
+        return True
 
     def write_limited(self, event: str, **fields: Any) -> None:
         """Writes one line, at most once a second for each event, with how often it was left out.
--- a/cherrydoor/platform/process.py
+++ b/cherrydoor/platform/process.py
@@ -10,7 +10,6 @@
 import traceback
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
 import uvloop
 
@@ -26,6 +25,7 @@
 from cherrydoor.platform.event_log import EventLog
 from cherrydoor.platform.graceful_shutdown import GracefulShutdown
 from cherrydoor.platform.resource_usage import PlatformUsage, WallClock
+from cherrydoor.platform.router_trace import RouterTrace
 from cherrydoor.platform.upstream import Upstream
 from cherrydoor.routing import Router
 
@@ -109,10 +109,6 @@
         """Writes a log message of the router."""
         self.log.write("routing", text=text)
 
-    def line(self, event: str, **fields: Any) -> None:
-        """Writes a log line; the trace calls it so."""
-        self.log.write(event, **fields)
-
     async def run(self) -> int:
         """Serves until a signal or the shutdown's end; returns the exit code."""
         try:
@@ -133,8 +129,7 @@
         self.log_ready()
         self.loop.call_later(USAGE_INTERVAL_S, self.log_usage)
         if self.trace:
-            self.upstream.traffic = {}
-            self.loop.call_later(self.trace / 1000, self.believed)
+            RouterTrace(self, self.trace).start()
         exit_code = await self.done
         self.log_usage()
         await self.close()
@@ -185,7 +180,7 @@
         the same hosts. Guards against a process that ends with all its clients; harms by failing
         requests that the fault did not concern.
         """
-        print(traceback.format_exc(), file=sys.stderr, flush=True)
+        self.log.write_text(traceback.format_exc())
         failed = self.dispatcher
         endpoints = failed.endpoints()
         failed.respond_to_all("the gateway starts anew")
@@ -231,47 +226,6 @@
             admission=self.listeners.controller.counters,
         )
 
-    def believed(self):
-        """Log for each host what the router knows of it, and its traffic since the last such line."""
-        self.loop.call_later(self.trace / 1000, self.believed)
-        router = self.dispatcher.router
-        statistics = router.statistics
-        functions = router.history.functions.values()
-        now = self.clock.now()
-        traffic = self.upstream.traffic
-        self.upstream.traffic = {}
-        rows = []
-        for name, host in sorted(router.hosts.items()):
-            upstream_host = self.dispatcher.hosts.get(name)
-            links = upstream_host.links if upstream_host else ()
-            rows.append(
-                {
-                    "host": name,
-                    "state": host.state,
-                    "out": len(host.in_flight),
-                    "load": host.load(),
-                    "busy": host.overloaded,
-                    "shut": max(0, round(host.health.ejected_until_ms - now)),
-                    "strikes": host.health.consecutive_failures,
-                    "probing": host.health.check_in_flight,
-                    "mean": round(host.mean_response_ms(), 1),
-                    "level": round(host.slow_start.level(now), 2),
-                    "full": round(host.fullness.read(now), 2),
-                    "copies": sum(host in function.copies for function in functions),
-                    "links": len(links),
-                    "open": sum(len(link.out) for link in links),
-                    "crossed": traffic.get(name, {}),
-                }
-            )
-        self.line(
-            "believed",
-            mean=round(router.mean(), 1),
-            blind=statistics.most_hosts_suspect,
-            brisk=round(statistics.fast_response_ms, 1),
-            load=round(statistics.load_ms),
-            hosts=rows,
-        )
-
 
 def configured_by_environment() -> tuple[Configuration, str]:
     """Reads what the environment names; returns it with the file's path.
--- a/tests/platform/test_event_log.py
+++ b/tests/platform/test_event_log.py
@@ -1,6 +1,8 @@
 """The gateway's log on standard error."""
 
+import errno
 import json
+import sys
 
 import pytest
 
@@ -53,3 +55,26 @@
     log.write("discovery update applied", revision=2)
     log.write("discovery update applied", revision=3)
     assert [line["revision"] for line in lines(capsys)] == [2, 3]
+
+
+class FailingStream:
+    """A standard error whose disk is full."""
+
+    def write(self, text: str) -> int:
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    def flush(self) -> None:
+        pass
+
+
+def test_lines_that_cannot_be_written_are_counted_in_the_next_one(log, capsys, monkeypatch):
+    with monkeypatch.context() as patch:
+        patch.setattr(sys, "stderr", FailingStream())
+        log.write("usage")
+        log.write("usage")
+    log.write("usage")
+    log.write("usage")
+    assert lines(capsys) == [
+        {"at": 5000, "is": "usage", "unwritten_lines": 2},
+        {"at": 5000, "is": "usage"},
+    ]
