--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 RUNS := 1
 BESIDE := 1
 soak: $(READY)
-	$(PY) tests/soak/soak_run.py --seed $(SEED) --runs $(RUNS) --beside $(BESIDE) --logs found/soak
+	$(PY) -m cherrydoor.rehearsal.soak --seed $(SEED) --runs $(RUNS) --beside $(BESIDE) --logs found/soak
 
 clean:
 	rm -rf .venv found
--- a/cherrydoor/platform/discovery_watch.py
+++ b/cherrydoor/platform/discovery_watch.py
@@ -10,6 +10,7 @@
 from cherrydoor.codecs import sse
 from cherrydoor.gateway.event_loop import address, open_connection
 from cherrydoor.platform.host_starts import HostStarts
+from cherrydoor.platform.watch_connection import WatchConnection
 from cherrydoor.protocol import messages as protocol
 from cherrydoor.routing import messages as routing
 
@@ -18,9 +19,6 @@
 # Both times are doubled with each failure in a row, so often at most: a slow or crowded server is
 # asked in vain for ever by those who never wait for its answer.
 MAX_TIMEOUT_DOUBLINGS = 2
-# From a connection's first byte until a comment on it confirms the endpoint list: the updates that
-# were missed come first.
-CONFIRMING_AFTER_S = 0.25
 BACKOFF_S = (0.0, 0.05, 0.1, 0.2, 0.4)  # before the next try, by failures in a row
 LOGGED_HOSTS = 20  # of one update, at most
 SILENT = "silent"  # why a connection ended that is not counted as a failure: it had been open
@@ -31,75 +29,6 @@
     return {entry.id: entry.state for entry in (update.endpoints or ())[:LOGGED_HOSTS]}
 
 
-class WatchConnection(asyncio.Protocol):
-    """One connection to the endpoint stream.
-
-    Args:
-        watch: Gets the updates.
-        server: The stream's address:port.
-
-    Attributes:
-        ended: Future of the reason why the connection ended.
-        last_input_s: When something last came, in s of the loop's clock.
-        first_input_s: When something first came; None before that.
-        settled: Whether it has been open for long enough to have brought what was missed.
-        updates_received: How many complete updates came.
-    """
-
-    def __init__(self, watch: "DiscoveryWatch", server: str) -> None:
-        self.watch = watch
-        self.server = server
-        self.reader = sse.UpdateReader()
-        self.transport: Any = None
-        self.ended: asyncio.Future[str] = asyncio.get_running_loop().create_future()
-        self.last_input_s = 0.0
-        self.first_input_s: float | None = None
-        self.settled = False
-        self.updates_received = 0
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Asks for all updates after the last one that was applied."""
-        self.transport = transport
-        self.last_input_s = asyncio.get_running_loop().time()
-        if self.ended.done():  # it was ended, or the stream moved, while the connection was dialled
-            self.transport.abort()
-            return
-        self.transport.write(sse.watch_request(self.server, self.watch.last_revision))
-        self.watch.updates_requested()
-
-    def data_received(self, data: bytes) -> None:
-        """Hands complete updates to the watch; what cannot be read ends the connection."""
-        self.last_input_s = self.watch.last_input_s = asyncio.get_running_loop().time()
-        if self.first_input_s is None:
-            self.first_input_s = self.last_input_s
-        lines_before = self.reader.lines
-        comments_before = self.reader.comments
-        try:
-            for update in self.reader.feed(data):
-                if self.ended.done():
-                    return
-                self.updates_received += 1
-                self.watch.update_received(update, self)
-        except sse.UnreadableError as error:
-            self.end(str(error))
-        open_s = self.last_input_s - self.first_input_s
-        if self.reader.comments > comments_before and open_s >= CONFIRMING_AFTER_S:
-            self.settled = True
-        if self.settled and self.reader.lines > lines_before and not self.ended.done():
-            self.watch.confirm()
-
-    def end(self, reason: str) -> None:
-        """Closes the connection; the first reason counts."""
-        if not self.ended.done():
-            self.ended.set_result(reason)
-        if self.transport is not None:
-            self.transport.abort()
-
-    def connection_lost(self, error: Exception | None) -> None:
-        """Notes that the connection has ended."""
-        self.end(str(error) if error else "connection closed")
-
-
 class DiscoveryWatch:
     """Keeps the dispatcher's endpoint list up to date.
 
--- a/tests/soak/soak_run.py
+++ b/cherrydoor/rehearsal/soak/run.py
@@ -1,6 +1,6 @@
 """One soak: real gateways between hosts, discovery servers and clients, with the faults of a seed.
 
-    python tests/soak/soak_run.py --seed 7 --runs 1
+    python -m cherrydoor.rehearsal.soak --seed 7 --runs 1
 
 plays it by hand, several seeds beside each other with ``--beside``; the exit code is 1 where a rule
 was broken.
@@ -22,11 +22,12 @@
 from itertools import count
 from pathlib import Path
 
-import soak_plan
-from soak_clients import GatewayClients
-from soak_plan import Signal
-from soak_verdict import Verdict
-from soak_world import DISCOVERY_PORT, HOST_PORT, SoakDiscovery, SoakHost
+from cherrydoor.rehearsal.soak import plan as plan_module
+from cherrydoor.rehearsal.soak.clients import GatewayClients
+from cherrydoor.rehearsal.soak.plan import Signal
+from cherrydoor.rehearsal.soak.settings import SETTINGS
+from cherrydoor.rehearsal.soak.verdict import Verdict
+from cherrydoor.rehearsal.soak.world import DISCOVERY_PORT, HOST_PORT, SoakDiscovery, SoakHost
 
 LISTEN_PORT = 10080
 READY_S = 20.0
@@ -142,42 +143,15 @@
 
     # ---- gateways
     def write_configuration(self, gateway):
-        settings = {
+        settings = SETTINGS | {
             "instances": self.plan.gateways,
             "me": gateway,
-            "zone": "east",
-            "resolution": 1000,
-            "discovery": "push",
             "requestClasses": [
                 self.request_class("draft", "repeatable"),
                 self.request_class("file", "once"),
             ],
             "tenants": [{"name": "acme", "portion": 1.0, "quotaPerS": 1000.0}],
-            "permissions": {
-                "cancel": True,
-                "mayProbe": True,
-                "maxAttempts": 6,
-                "retryAfter": True,
-                "maxRetryAfter": 1000000,
-                "connIdle": 15000000,
-                "connectTimeout": 250000,
-                "mostHeld": 20000,
-            },
-            "rules": {
-                "coldFrom": 0.2,
-                "cold": 5000000,
-                "overloadFactor": 3.0,
-                "fall": 3000000,
-                "drainGrace": self.plan.grace_ms * 1000,
-            },
-            "familyInfo": {
-                "ifCold": "load",
-                "lingerIdle": 8000000,
-                "loadControl": True,
-                "saysWarm": True,
-                "saysCompany": True,
-                "loadWait": 4000000,
-            },
+            "rules": SETTINGS["rules"] | {"drainGrace": self.plan.grace_ms * 1000},
         }
         document = {
             "name": f"n{gateway}",
@@ -326,8 +300,10 @@
 
     # ---- the run
     async def play(self):
-        for part in (*self.hosts, *self.discovery):
-            await part.open()
+        for host in self.hosts:
+            await host.open()
+        for server in self.discovery:
+            await server.open()
         await asyncio.gather(*(self.start_gateway(g) for g in range(self.plan.gateways)))
         self.began_s = self.loop.time()
         lag = self.loop.create_task(self.measure_lag())
@@ -337,7 +313,7 @@
         faults += [self.play_hang(hang) for hang in plan.hangs]
         faults += [self.play_signals(gateway) for gateway in range(plan.gateways)]
         faults += [self.play_crowd(crowd) for crowd in plan.crowds]
-        end_s = self.began_s + soak_plan.DURATION_S
+        end_s = self.began_s + plan_module.DURATION_S
         sending = [clients.send_until(end_s) for clients in self.clients]
         try:
             await asyncio.gather(*faults, *sending)
@@ -390,7 +366,7 @@
     """Plays one seed and returns its report; logs and configurations stay in the folder."""
 
     async def whole(where):
-        run = Run(soak_plan.draw(seed), where)
+        run = Run(plan_module.draw(seed), where)
         return report(run, await run.play())
 
     if folder is not None:
@@ -417,7 +393,3 @@
             broken += bool(found["breaks"])
     print(f"{said.runs} runs, {broken} with a broken rule, {time.monotonic() - began_s:.0f} s")
     return 1 if broken else 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/tests/soak/soak_verdict.py
+++ b/cherrydoor/rehearsal/soak/verdict.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from math import sqrt
 
-from soak_world import ACCEPTED, SENT
+from cherrydoor.rehearsal.soak.world import ACCEPTED, SENT
 
 NOTIFIED_AFTER_S = 4.0  # from the beginning of an outage, by the protocol page
 SLACK_S = 0.05  # that the protocol page adds to each time limit
--- a/tests/soak/soak_world.py
+++ b/cherrydoor/rehearsal/soak/world.py
@@ -6,7 +6,7 @@
 import time
 from dataclasses import dataclass
 
-from soak_plan import DiscoveryFault
+from cherrydoor.rehearsal.soak.plan import DiscoveryFault
 
 HOST_PORT, DISCOVERY_PORT = 10080, 2379
 SERVICE_S = 0.015  # that a host works on a request
--- a/tests/platform/platform_harness.py
+++ b/tests/platform/platform_harness.py
@@ -15,46 +15,11 @@
 
 from cherrydoor.platform import configuration
 from cherrydoor.platform.process import PlatformService
+from cherrydoor.rehearsal.soak.settings import SETTINGS
 
 LONG = 20.0  # s after which a test that waits for something has failed
 MORE = "memory_mb:512;lanes:4;load_ms:200"
 FUNCTION = "7f3a9c21e0b4d655"
-SETTINGS = {
-    "instances": 1,
-    "me": 0,
-    "zone": "east",
-    "resolution": 1000,
-    "discovery": "push",
-    "requestClasses": [
-        {"name": "draft", "aim": 600000, "deadline": 3000000, "repeat": "repeatable"}
-    ],
-    "tenants": [{"name": "acme", "portion": 1.0, "quotaPerS": 100.0}],
-    "permissions": {
-        "cancel": True,
-        "mayProbe": True,
-        "maxAttempts": 6,
-        "retryAfter": True,
-        "maxRetryAfter": 1000000,
-        "connIdle": 15000000,
-        "connectTimeout": 250000,
-        "mostHeld": 20000,
-    },
-    "rules": {
-        "coldFrom": 0.2,
-        "cold": 5000000,
-        "overloadFactor": 3.0,
-        "fall": 3000000,
-        "drainGrace": 2000000,
-    },
-    "familyInfo": {
-        "ifCold": "load",
-        "lingerIdle": 8000000,
-        "loadControl": True,
-        "saysWarm": True,
-        "saysCompany": True,
-        "loadWait": 4000000,
-    },
-}
 
 
 # Starts the gateway in a process that the kernel refuses what the platform refuses: other programs,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,7 +4,8 @@
 """
 
 import pytest
-from soak_run import play_seed
+
+from cherrydoor.rehearsal.soak.run import play_seed
 
 SEEDS = (4, 5, 12)
 
