A discovery server that answers promptly confirms the list without waiting for a comment

A server that answers within 0.25 s has sent what was missed 0.25 s later; one that answers later is waited for as before.

--- a/cherrydoor/platform/watch_connection.py
+++ b/cherrydoor/platform/watch_connection.py
@@ -8,8 +8,9 @@
 if TYPE_CHECKING:
     from cherrydoor.platform.discovery_watch import DiscoveryWatch
 
-# From a connection's first byte until a comment on it confirms the endpoint list: the updates that
-# were missed come first.
+# From a connection's first byte until it confirms the endpoint list: the updates that were missed
+# come first. A server that answered as promptly has sent them by then; another one is known to have
+# sent them when a comment follows.
 CONFIRMING_AFTER_S = 0.25
 
 
@@ -22,6 +23,7 @@
 
     Attributes:
         ended: Future of the reason why the connection ended.
+        asked_s: When it was opened, and asked for updates, in s of the loop's clock.
         last_input_s: When something last came, in s of the loop's clock.
         first_input_s: When something first came; None before that.
         settled: Whether it has been open for long enough to have brought what was missed.
@@ -34,6 +36,7 @@
         self.reader = sse.UpdateReader()
         self.transport: Any = None
         self.ended: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        self.asked_s = 0.0
         self.last_input_s = 0.0
         self.first_input_s: float | None = None
         self.settled = False
@@ -42,7 +45,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Asks for all updates after the last one that was applied."""
         self.transport = transport
-        self.last_input_s = asyncio.get_running_loop().time()
+        self.asked_s = self.last_input_s = asyncio.get_running_loop().time()
         if self.ended.done():  # it was ended, or the stream moved, while the connection was dialled
             self.transport.abort()
             return
@@ -54,6 +57,8 @@
         self.last_input_s = self.watch.last_input_s = asyncio.get_running_loop().time()
         if self.first_input_s is None:
             self.first_input_s = self.last_input_s
+            if self.first_input_s - self.asked_s <= CONFIRMING_AFTER_S:
+                asyncio.get_running_loop().call_later(CONFIRMING_AFTER_S, self.settle)
         lines_before = self.reader.lines
         comments_before = self.reader.comments
         try:
@@ -66,8 +71,14 @@
             self.end(str(error))
         open_s = self.last_input_s - self.first_input_s
         if self.reader.comments > comments_before and open_s >= CONFIRMING_AFTER_S:
+            self.settle()
+        elif self.settled and self.reader.lines > lines_before and not self.ended.done():
+            self.watch.confirm()
+
+    def settle(self) -> None:
+        """Takes it that what was missed has come, and confirms the endpoint list."""
+        if not self.ended.done():
             self.settled = True
-        if self.settled and self.reader.lines > lines_before and not self.ended.done():
             self.watch.confirm()
 
     def end(self, reason: str) -> None:
--- a/tests/platform/test_discovery_outage.py
+++ b/tests/platform/test_discovery_outage.py
@@ -211,3 +211,12 @@
     assert not host.commands(b"exec") and not host.commands(b"ensure")
     del service.dispatcher.router.may_get_new_work
     assert (await harness.handled()).status == 200
+
+
+@with_harness
+async def test_a_server_that_answers_promptly_confirms_the_list_without_a_comment(harness):
+    service = await harness.start_within(settings=OUTAGE_SETTINGS)
+    harness.discovery_servers[0].beat.cancel()
+    watch = service.discovery_watch
+    await until(lambda: watch.connection is not None and watch.connection.settled)
+    assert watch.connection.reader.comments == 0 and watch.requested_at_ms is None
