--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 # Tests that start no process and serve no real client: seconds, for small steps. `make test` stays the whole.
 CHECK := tests/behaviour tests/compatibility tests/routing tests/protocol tests/config tests/admission/test_controller.py \
-	tests/releases/test_rollouts.py tests/releases/test_evidence.py tests/tls/test_credential_store.py \
+	tests/soak/test_verdict.py tests/releases/test_rollouts.py tests/releases/test_evidence.py tests/tls/test_credential_store.py \
 	tests/membership/test_member_table.py tests/membership/test_peer_links.py \
 	tests/leader_election/test_candidates_and_voters.py tests/failover/test_takeover_decisions.py \
 	tests/failover/test_response_claims.py tests/failover/test_replication.py \
--- a/cherrydoor/rehearsal/soak/run.py
+++ b/cherrydoor/rehearsal/soak/run.py
@@ -300,34 +300,50 @@
 
     # ---- the run
     async def play(self):
+        """Plays the whole run and returns its verdict; nothing of it is left running."""
+        try:
+            await self.start()
+            self.background.append(self.loop.create_task(self.measure_lag()))
+            await asyncio.gather(*self.faults(), *self.clients_sending())
+            for clients in self.clients:
+                await clients.finish()
+            return self.verdict()
+        finally:
+            for task in self.background:
+                task.cancel()
+            self.close()
+
+    async def start(self):
+        """Opens hosts and discovery, and waits until all gateways are ready."""
         for host in self.hosts:
             await host.open()
         for server in self.discovery:
             await server.open()
         await asyncio.gather(*(self.start_gateway(g) for g in range(self.plan.gateways)))
         self.began_s = self.loop.time()
-        lag = self.loop.create_task(self.measure_lag())
+
+    def faults(self):
+        """Returns what plays each fault of the plan."""
         plan = self.plan
         faults = [self.play_outage(outage) for outage in plan.outages]
         faults += [self.play_drain(drain) for drain in plan.drains]
         faults += [self.play_hang(hang) for hang in plan.hangs]
         faults += [self.play_signals(gateway) for gateway in range(plan.gateways)]
         faults += [self.play_crowd(crowd) for crowd in plan.crowds]
+        return faults
+
+    def clients_sending(self):
+        """Returns what sends the clients' requests of each gateway."""
         end_s = self.began_s + plan_module.DURATION_S
-        sending = [clients.send_until(end_s) for clients in self.clients]
-        try:
-            await asyncio.gather(*faults, *sending)
-            for clients in self.clients:
-                await clients.finish()
-            crashed = [g for g, process in self.processes.items() if process.poll() is not None]
-            verdict = Verdict(self)
-            for gateway in crashed:
+        return [clients.send_until(end_s) for clients in self.clients]
+
+    def verdict(self):
+        """Returns the verdict; a gateway that has ended by itself is a crash."""
+        verdict = Verdict(self)
+        for gateway, process in self.processes.items():
+            if process.poll() is not None:
                 verdict.add("crash", self.loop.time(), f"gateway {gateway} ended by itself")
-            return verdict
-        finally:
-            for task in (lag, *self.background):
-                task.cancel()
-            self.close()
+        return verdict
 
     def close(self):
         for clients in self.clients:
