--- a/cherrydoor/tls/credential_manager.py
+++ b/cherrydoor/tls/credential_manager.py
@@ -127,11 +127,14 @@
         loop = asyncio.get_running_loop()
         give_up_s = loop.time() + self.settings.start_timeout_ms / 1000
         poll_interval_s = self.settings.poll_interval_ms / 1000
-        while rejected := self.look(True):
+        self.look(True)
+        # What counts is what is rejected now: a rejection is reported once only.
+        while rejected := self.store.rejected():
             left_s = give_up_s - loop.time()
             if left_s <= 0:
                 raise CredentialRejectedError(rejected[0].part, rejected[0].why)
             await asyncio.sleep(min(left_s, START_RETRY_S, poll_interval_s))
+            self.look(True)
         if self.settings.paths():
             self.timer = loop.call_later(poll_interval_s, self._poll)
 
--- a/cherrydoor/tls/credential_store.py
+++ b/cherrydoor/tls/credential_store.py
@@ -141,6 +141,14 @@
             for token_key in self.token_keys
         )
 
+    def rejected(self) -> list[Rejected]:
+        """What was last rejected, and why, of each part whose latest offer was."""
+        return [
+            Rejected(part, in_service.reported)
+            for part, in_service in self.parts.items()
+            if in_service.reported
+        ]
+
     # ---- offers
     def _offered(self, offer: Offered) -> None:
         in_service = self.parts[offer.part]
