--- a/cherrydoor/rehearsal/soak/__main__.py
+++ b/cherrydoor/rehearsal/soak/__main__.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from cherrydoor.rehearsal.soak.run import main
+from cherrydoor.rehearsal.soak.command import main
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/cherrydoor/rehearsal/soak/world.py
+++ b/cherrydoor/rehearsal/soak/world.py
@@ -196,9 +196,9 @@
         writer.close()
 
     def catch_up(self, writer):
-        for update in self.run.updates:
+        for update in self.run.endpoint_list.updates:
             if update.number > self.streams.get(writer, update.number):
-                text = json.dumps(self.run.event(update, self.gateway))
+                text = json.dumps(self.run.endpoint_list.event(update, self.gateway))
                 writer.write(f"id: {update.number}\ndata: {text}\n\n".encode())
                 self.streams[writer] = update.number
 
--- a/tests/platform/platform_harness.py
+++ b/tests/platform/platform_harness.py
@@ -13,47 +13,19 @@
 import sys
 from functools import wraps
 
+from platform_filter import HELD
+from platform_outside import LONG as LONG
+from platform_outside import DiscoveryServer, Host
+from platform_outside import reply as reply
+
 from cherrydoor.platform import configuration
 from cherrydoor.platform.process import PlatformService
 from cherrydoor.rehearsal.soak.settings import SETTINGS
 
-LONG = 20.0  # s after which a test that waits for something has failed
 MORE = "memory_mb:512;lanes:4;load_ms:200"
 FUNCTION = "7f3a9c21e0b4d655"
 
 
-# Starts the gateway in a process that the kernel refuses what the platform refuses: other programs,
-# fork, io_uring, splice, sendfile and sockets that are not of IPv4. First it tries one itself, so
-# that a filter without effect is seen.
-HELD = """
-import ctypes, errno, os, platform, runpy, struct, sys
-refused, clone, socket = {
-    "x86_64": ((57, 58, 59, 322, 275, 40, 425, 426, 427, 435), 56, 41),
-    "aarch64": ((221, 281, 76, 71, 425, 426, 427, 435), 220, 198)}[platform.machine()]
-no, yes = (6, 0, 0, 0x50000 | errno.ENOSYS), (6, 0, 0, 0x7fff0000)
-number, first = (0x20, 0, 0, 0), (0x20, 0, 0, 16)
-lines = [number]
-for call in refused:
-    lines += [(0x15, 0, 1, call), no]
-lines += [(0x15, 0, 4, clone), first, (0x45, 1, 0, 0x10000), no, yes]     # threads only
-lines += [(0x15, 0, 4, socket), first, (0x15, 1, 0, 2), no, yes, yes]      # IPv4 only
-code = ctypes.create_string_buffer(b"".join(struct.pack("HBBI", *line) for line in lines))
-program = ctypes.create_string_buffer(struct.pack("HP", len(lines), ctypes.addressof(code)))
-libc = ctypes.CDLL(None, use_errno=True)
-pointer = ctypes.c_void_p(ctypes.addressof(program))
-if libc.prctl(38, 1, 0, 0, 0) or libc.prctl(22, 2, pointer, 0, 0):
-    sys.exit("no filter: " + os.strerror(ctypes.get_errno()))
-try:
-    if os.fork() == 0:
-        os._exit(0)
-    sys.exit("the filter let a fork pass")
-except OSError as error:
-    assert error.errno == errno.ENOSYS, error
-sys.argv[1:] = ["platform"]
-runpy.run_module("cherrydoor", run_name="__main__", alter_sys=True)
-"""
-
-
 def with_harness(test):
     """Runs an async test with a harness of its own, and closes it."""
 
@@ -73,135 +45,6 @@
     return run
 
 
-class Host:
-    """Replies what `answers` returns for a command's words: bytes to write, or None.
-
-    All commands are kept, as (connection's number, words).
-    """
-
-    def __init__(self, name):
-        self.name, self.got, self.answers, self.writers, self.news = (
-            name,
-            [],
-            self.handles,
-            [],
-            asyncio.Event(),
-        )
-
-    async def open(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-        return self
-
-    def handles(self, words):
-        word = words[0]
-        if word == b"exec":
-            return reply(words[1], b"DONE", b"tell=hit", b"body of " + words[1])
-        if word == b"ensure":
-            return reply(words[1], b"DONE", b"copies=1")
-        return reply(words[1], b"FIT") if word in (b"health", b"load") else None
-
-    async def serve(self, reader, writer):
-        number = len(self.writers)
-        self.writers.append(writer)
-        try:
-            while True:
-                size = int((await reader.readline())[1:])
-                words = [
-                    await reader.readexactly(int((await reader.readline())[1:]) + 2)
-                    for _ in range(size)
-                ]
-                words = [word[:-2] for word in words]
-                self.got.append((number, words))
-                self.news.set()
-                if data := self.answers(words):
-                    writer.write(data)
-        except (ValueError, asyncio.IncompleteReadError, OSError):
-            writer.close()
-
-    def commands(self, word):
-        return [words for _, words in self.got if words[0] == word]
-
-    async def until(self, word, count=1):
-        """Waits until so many of these commands have come; returns the last."""
-        async with asyncio.timeout(LONG):
-            while len(self.commands(word)) < count:
-                self.news.clear()
-                await self.news.wait()
-        return self.commands(word)[-1]
-
-
-def reply(number, word, fields=b"-", body=b""):
-    """An answer of a host, as bytes."""
-    return b"*4\r\n" + b"".join(
-        b"$%d\r\n%b\r\n" % (len(w), w) for w in (number, word, fields, body)
-    )
-
-
-class DiscoveryServer:
-    """Serves `updates` from the revision asked for; `asked` has those revisions.
-
-    While `muted` it sends nothing, with its connections open.
-    """
-
-    def __init__(self):
-        self.updates, self.asked, self.writers, self.muted, self.news = (
-            [],
-            [],
-            [],
-            False,
-            asyncio.Event(),
-        )
-
-    async def open(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-        self.beat = asyncio.create_task(self.beats())
-        return self
-
-    async def beats(self):
-        while True:
-            await asyncio.sleep(0.5)
-            for writer in () if self.muted else self.writers:
-                writer.write(b": still here\n\n")
-
-    async def serve(self, reader, writer):
-        head = await reader.readuntil(b"\r\n\r\n")
-        lines = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:] if line)
-        last = int(lines[b"last-event-id"])
-        writer.write(
-            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
-        )
-        self.muted = False
-        self.writers.append(writer)
-        for update in self.updates:
-            if update["no"] > last:
-                writer.write(self.text(update))
-        self.asked.append(last)
-        self.news.set()
-
-    @staticmethod
-    def text(update):
-        return f"id: {update['no']}\ndata: {json.dumps(update)}\n\n".encode()
-
-    def publish(self, update):
-        self.updates.append(update)
-        for writer in () if self.muted else self.writers:
-            writer.write(self.text(update))
-
-    def cut(self):
-        """Ends all connections, as they are."""
-        writers, self.writers = self.writers, []
-        for writer in writers:
-            writer.transport.abort()
-
-    async def until_asked(self, count):
-        async with asyncio.timeout(LONG):
-            while len(self.asked) < count:
-                self.news.clear()
-                await self.news.wait()
-
-
 class Answer:
     def __init__(self, status, headers, body):
         self.status, self.headers, self.body = status, headers, body
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cherrydoor.rehearsal.soak.run import play_seed
+from cherrydoor.rehearsal.soak.command import play_seed
 
 SEEDS = (4, 5, 12)
 
