--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -75,8 +75,9 @@
     Attributes:
         service_s: Time from a request's arrival to its answer.
         draining: Whether it answers health checks with UNFIT; it still runs requests.
-        silent: Whether it says nothing at all.
-        hanging: Whether it takes work and answers none of it; health checks are answered.
+        failing: For subclasses: whether it leaves some work unanswered.
+        note: The fields of its answers to requests.
+        running: The wire ids of the requests that it runs.
     """
 
     def __init__(self, record, name, service_s=0.02, cell=0, zone="floor-1"):
@@ -87,8 +88,9 @@
         self.zone = zone
         self.started_at_ms = 0
         self.draining = False
-        self.silent = False
-        self.hanging = False
+        self.failing = False
+        self.note = b"tell=hit"
+        self.running = set()
         self.executed = []
         self.orders = []
         self.dropped = []
@@ -133,14 +135,17 @@
             self.answer(writer, reply(words[1], status, b"copies=1"))
 
     def execute(self, words, writer):
-        """Answers a request after the service time, unless the host hangs."""
-        if self.hanging:
-            return
-        data = reply(words[1], b"DONE", b"tell=hit", b"body of " + words[1])
-        asyncio.get_running_loop().call_later(self.service_s, self.answer, writer, data)
+        """Answers a request after the service time."""
+        self.running.add(words[1])
+        data = reply(words[1], b"DONE", self.note, b"body of " + words[1])
+        asyncio.get_running_loop().call_later(self.service_s, self.done, words[1], writer, data)
+
+    def done(self, command_id, writer, data):
+        self.running.discard(command_id)
+        self.answer(writer, data)
 
     def answer(self, writer, data):
-        if not self.silent and not writer.is_closing():
+        if not writer.is_closing():
             writer.write(data)
 
     def end(self):
@@ -445,7 +450,8 @@
         },
     }
     for section, values in changed.items():
-        found[section] = found[section] | values if isinstance(found.get(section), dict) else values
+        is_section = isinstance(found.get(section), dict)
+        found[section] = found[section] | values if is_section else values
     return found
 
 
