--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,8 +17,8 @@
 TOLD_AFTER_S = 4.0  # from the start of a silence, the protocol page's latest time
 SILENCE_S = 16.0
 WRAPPING_UP_S = 8.0  # from "terminating" to the end of the host's process
-SERVICE_S = 0.1
-CLIENTS = 12
+SERVICE_S = 0.3
+CLIENTS = 24
 CLASSES = [{"name": "booking-write", "aim": 1500000, "deadline": 3000000, "repeat": "once"}]
 FUNCTIONS = [f"{0x7F3A9C21E0B40000 + number * 7919:016x}" for number in range(40)]
 
