--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """Six in ten hosts are replaced: is an at-most-once request ever refused while a host runs it?"""
 
 import asyncio
+import os
 import random
 import sys
 from pathlib import Path
@@ -9,6 +10,7 @@
 sys.path.insert(0, str(FOLDER.parent / "common"))
 from standins import Bulletin, Client, Host, play, settings  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SOCKETS = 256  # the least of the scored days
 CLIENTS = 85  # clients hold at most a third of the descriptor limit
 HOSTS = 120
@@ -108,7 +110,9 @@
         f"{booking} was run {len(runs_of_booking[booking])} times"
         for request, (booking, answer) in answers.items()
         if answer is not None and answer.status in (429, 503) and request in runs
+        # Earlier launches alone: one that began before the refusal.
+        if runs[request][0].at_s < answer.at_s
     ]
 
 
-play(FOLDER, run_case)
+play(FOLDER, run_case, TROUBLE)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -12,11 +13,13 @@
 sys.path.insert(0, str(FOLDER.parent / "common"))
 from standins import Bulletin, Client, Host, play, settings  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 GRACE_S = 0.5
 SLACK_S = 0.05  # the protocol page adds it to each time limit
 TOLD_AFTER_S = 4.0  # from the start of a silence, the protocol page's latest time
 SILENCE_S = 16.0
-WRAPPING_UP_S = 8.0  # from "terminating" to the end of the host's process
+WRAPPING_UP_S = 6.0  # from "terminating" to the end; the page: a drain takes 2 to 6 s
+DRAIN_AFTER_S = 2.0  # from the start of the silence
 SERVICE_S = 0.3
 CLIENTS = 24
 CLASSES = [{"name": "booking-write", "aim": 1500000, "deadline": 3000000, "repeat": "once"}]
@@ -54,7 +57,7 @@
             "bulletin", "falls silent; it accepts connections and answers their heads"
         )
         bulletin.silent = True
-    await asyncio.sleep(0.5)
+    await asyncio.sleep(DRAIN_AFTER_S)
     draining = hosts[1]
     draining.draining = True
     drained_s = bulletin.publish((draining, "terminating"))
@@ -65,7 +68,7 @@
     await asyncio.sleep(WRAPPING_UP_S)
     draining.end()
     ended_s = bulletin.publish((draining, "terminated"))
-    await asyncio.sleep(SILENCE_S - WRAPPING_UP_S)
+    await asyncio.sleep(SILENCE_S - DRAIN_AFTER_S - WRAPPING_UP_S)
     bulletin.speak_again()
     await asyncio.sleep(1.0)
     stop.set()
@@ -87,4 +90,4 @@
     ]
 
 
-play(FOLDER, run_case)
+play(FOLDER, run_case, TROUBLE)
