A client is not refused for want of descriptors while a host runs its request

Cause: ClientProtocol.close answered every close by admission with 503 and asked nobody about the request on that connection, and ConnectionSlots.longest_unused_unknown chose a busy client where no other was left. Descriptors ran out because platform_slots gave each host a connection, also where there are more hosts than descriptors set apart for them, and no idle connection to a host was ever given up.

Connections to hosts were 120 to 192 where 79 were set apart; clients kept to their third.

Change: a connection with a request in flight or on its way is no victim. One that is closed for another reason (unfinished pipelined input) stays open for the dispatcher's own response and closes with it. Connections to hosts keep to their share, on the platform and on our own protocol: a new one closes the longest idle first, and where a connect finds no descriptor an idle connection to a host goes before a client's. So the promise is given only by the part that knows the attempts, and the lack does not arise.

One of four recorded histories of admission has a new digest: in one of its 7 choices for an upstream connection, over all four, the victim had a request in flight; the other six are unchanged.

--- a/cherrydoor/admission/connection_slots.py
+++ b/cherrydoor/admission/connection_slots.py
@@ -174,9 +174,11 @@
     def longest_unused_unknown(self) -> AdmittedConnection | None:
         """Returns the connection of an unknown client to close when a descriptor has to be freed.
 
-        Connections without a request in flight come first, and of those the longest unused.
+        It is the longest unused of those without a request in flight or on its way; None if there
+        is none.
         """
-        return max(self.unknown, key=lambda one: (not one.open, -one.used), default=None)
+        unused = (one for one in self.unknown if not one.open and not one.partial)
+        return min(unused, key=lambda one: one.used, default=None)
 
     def largest_holder(self, group: ReadGroup) -> AdmittedConnection | None:
         """Returns the connection that holds the most bytes of unfinished frames, or None.
--- a/cherrydoor/admission/controller.py
+++ b/cherrydoor/admission/controller.py
@@ -280,9 +280,11 @@
         """Closes a connection to free a descriptor, and pauses accepting.
 
         An idle connection of an unknown client is closed or, if there is none, a pending
-        connection. If neither exists and an upstream connection needs the descriptor, any
-        connection of an unknown client is closed. The pause becomes longer if descriptors are
-        exhausted again soon.
+        connection. If neither exists and an upstream connection needs the descriptor, a
+        connection is closed that has been idle for a shorter time. A connection with a request in
+        flight is never closed for its descriptor: its client is owed the response, and an attempt
+        may be running. The upstream connection then has to wait. The pause becomes longer if
+        descriptors are exhausted again soon.
         """
         self.count("descriptors ran out")
         victim = self.connection_slots.longest_idle_unknown(self.now)
--- a/cherrydoor/admission/descriptors.py
+++ b/cherrydoor/admission/descriptors.py
@@ -28,11 +28,13 @@
     Attributes:
         client_slots: For admitted client connections.
         pending: For pending connections.
+        upstream: For upstream connections to all hosts.
         per_host: For upstream connections to one host.
     """
 
     client_slots: int
     pending: int
+    upstream: int
     per_host: int
 
 
@@ -68,7 +70,8 @@
 
     The proxy's connections get 7/20 of the limit, about a third, and all have a slot. In addition
     there is room for half as many pending connections. An eighth of the limit stays free, and the
-    hosts share the rest.
+    hosts share the rest. Where there are more hosts than the rest has descriptors, `per_host` is 1
+    and only `upstream` of them can have a connection at a time.
 
     Args:
         limit: Descriptors that the process may have open.
@@ -76,15 +79,17 @@
         hosts: Number of hosts on the endpoint list.
 
     >>> tuple(platform_slots(256, 12, 12))
-    (89, 44, 6)
+    (89, 44, 79, 6)
+    >>> tuple(platform_slots(256, 12, 192))
+    (89, 44, 79, 1)
     >>> tuple(platform_slots(1024, 12, 11))
-    (358, 179, 12)
+    (358, 179, 347, 12)
     """
     client_slots = limit * 7 // 20
     pending = client_slots // 2
-    left = limit * 7 // 8 - reserve - client_slots - pending
-    per_host = max(1, min(MAX_CONNECTIONS_PER_HOST, left // max(1, hosts)))
-    return PlatformSlots(client_slots, pending, per_host)
+    upstream = max(1, limit * 7 // 8 - reserve - client_slots - pending)
+    per_host = max(1, min(MAX_CONNECTIONS_PER_HOST, upstream // max(1, hosts)))
+    return PlatformSlots(client_slots, pending, upstream, per_host)
 
 
 def scale_reserved_slots(wanted: Sequence[int], capacity: int) -> list[int]:
--- a/cherrydoor/codecs/invoke.py
+++ b/cherrydoor/codecs/invoke.py
@@ -210,8 +210,8 @@
         reply: Bytes to send at once, before any response.
         failed: Whether a BadRequest was returned, so that nothing more is read.
         used_fast_path: Whether the open call was parsed by the fast path, so that h11 has seen nothing of it.
-        pipeline_overflowed: Whether more was pipelined than the limit. The excess is dropped, and the connection
-            closes with the open call's response. Reading goes on, because the end of the input shows that the client
+        pipeline_overflowed: Whether more was pipelined than the limit, or `close_after_response` was called. The rest
+            of the input is dropped, and the connection closes with the open call's response. Reading goes on, because the end of the input shows that the client
             has disconnected.
     """
 
@@ -276,6 +276,12 @@
             else:  # NEED_DATA, PAUSED, or ConnectionClosed
                 return None
 
+    def close_after_response(self):
+        """Closes the connection with the response to the open request; drops the input behind it."""
+        self.pipeline_overflowed = True
+        self.buffered_bytes = 0
+        self.http = None  # with what it has buffered; the response needs none of it
+
     def fail(self, status, reason):
         """Stops reading; returns the BadRequest that the client gets as its response."""
         self.failed = self.open = True
--- a/cherrydoor/config/figures.py
+++ b/cherrydoor/config/figures.py
@@ -79,6 +79,8 @@
         most_open: Requests in flight; further ones are rejected before any attempt.
         per_link: Attempts on one connection before another one is opened.
         links: Connections to one host; beyond that, attempts share connections.
+        host_connections: Connections to all hosts together; beyond that, a new connection first
+            closes an idle one. Set from the process's descriptors.
         connect: Timeout for connecting to a host.
         idle: Time after which an unused connection to a host is closed.
         probe: Timeout of a health check.
@@ -105,6 +107,7 @@
         tells=(True, True),
         silence=inf,
         handshake=0.0,
+        host_connections=inf,
     ):
         self.spare, self.most_open, self.per_link, self.links, self.silence = (
             spare,
@@ -121,6 +124,7 @@
             stay,
         )
         self.tells, self.handshake = tells, handshake
+        self.host_connections = host_connections
 
 
 def request_class_of(entry):
--- a/cherrydoor/gateway/daemon.py
+++ b/cherrydoor/gateway/daemon.py
@@ -106,6 +106,8 @@
             len(configs),
             sum(config.limits.links * MAX_HOSTS for config in configs),
         )
+        for config in configs:
+            config.limits.host_connections = max(1, hosts // len(configs))
         log.info(
             "file descriptors divided",
             limit=usage.descriptor_limit,
@@ -206,6 +208,7 @@
                 "configuration changed in settings that need a restart", gateway=config.name
             )
         service.bounds = old.bounds = config.bounds
+        config.limits.host_connections = old.limits.host_connections
         service.dispatcher.limits = old.limits = config.limits
         log.info("configuration reloaded", gateway=config.name)
 
--- a/cherrydoor/gateway/endpoints.py
+++ b/cherrydoor/gateway/endpoints.py
@@ -91,6 +91,7 @@
             dispatcher.connections.close_idle(host, 0.0 if gone else dispatcher.limits.idle, gone)
             if gone and not host.connections:
                 del self.hosts[host.id]
+        dispatcher.connections.close_beyond_limit(dispatcher.limits.host_connections)
 
 
 def endpoint_of(host: HostRecord) -> routing.Endpoint:
--- a/cherrydoor/gateway/event_loop.py
+++ b/cherrydoor/gateway/event_loop.py
@@ -49,10 +49,11 @@
 class TickingService:
     """Runs a dispatcher in ticks; all callbacks of one event loop iteration share one tick.
 
-    A subclass sets `dispatcher` and implements `restart`.
+    A subclass sets `dispatcher` and `listeners`, and implements `restart`.
     """
 
     dispatcher: Any
+    listeners: Any
 
     def __init__(self, clock: Any) -> None:
         """Binds the service to the running loop.
@@ -116,6 +117,15 @@
         self.timer = None
         self.schedule_tick()
 
+    def free_descriptor(self) -> None:
+        """Closes a connection for another one that found no descriptor; called within a tick.
+
+        An idle connection to a host goes first: it costs a connect later, and a client would have
+        to come again.
+        """
+        if not self.dispatcher.connections.close_longest_idle():
+            self.listeners.free_descriptor()
+
     def stop_timer(self) -> None:
         """Cancels the pending timer, if there is one."""
         if self.timer:
@@ -123,16 +133,16 @@
 
 
 async def open_connection(
-    listeners: Any,
+    service: TickingService,
     make_protocol: Callable[[], Any],
     host: str,
     port: int,
     tls: Any = None,
 ) -> tuple[Any, Any]:
-    """Connects; if no descriptor is free, asks the listeners to free one and tries again.
+    """Connects; if no descriptor is free, has the service free one and tries again.
 
     Args:
-        listeners: The service's listener set.
+        service: The gateway's service.
         make_protocol: Makes the asyncio protocol of the connection.
         host: Address to connect to.
         port: Port to connect to.
@@ -149,7 +159,7 @@
         except OSError as error:
             if error.errno not in DESCRIPTOR_ERRNOS:
                 raise
-            listeners.free_descriptor()
+            service.post(service.free_descriptor)
             await asyncio.sleep(DESCRIPTOR_RETRY_S)
 
 
@@ -164,6 +174,6 @@
     try:
         async with asyncio.timeout(service.dispatcher.limits.connect / 1000):
             host, port = address(host_address)
-            await open_connection(service.listeners, make_protocol, host, port, tls)
+            await open_connection(service, make_protocol, host, port, tls)
     except (TimeoutError, OSError, ValueError):
         service.post(service.dispatcher.connection_lost, connection)
--- a/cherrydoor/gateway/host_connections.py
+++ b/cherrydoor/gateway/host_connections.py
@@ -16,12 +16,17 @@
 class HostConnections:
     """Owns the connections to each host (``host.connections``).
 
-    Invariant: a connection is in its host's ``connections`` from when it is dialed until it is
-    closed, refused or lost, which ends all calls on it.
+    Invariant: a connection is in its host's ``connections`` and in ``all`` from when it is dialed
+    until it is closed, refused or lost, which ends all calls on it. No more than
+    ``limits.host_connections`` are kept open beyond those that carry calls.
+
+    Attributes:
+        all: The connections to all hosts, in the order in which they were dialed.
     """
 
     def __init__(self, dispatcher: "Dispatcher") -> None:
         self.dispatcher = dispatcher
+        self.all: dict[HostConnection, None] = {}
 
     def choose(self, host: HostRecord, call: HostCall) -> HostConnection:
         """Returns the connection for a call: the first one with room, a new one, or a shared one.
@@ -56,8 +61,10 @@
     def open(self, host: HostRecord) -> HostConnection:
         """Dials the host; messages written before the connection is open are sent once it is."""
         dispatcher = self.dispatcher
+        self.close_beyond_limit(dispatcher.limits.host_connections - 1)
         link = HostConnection(host, dispatcher.now)
         host.connections.append(link)
+        self.all[link] = None
         dispatcher.timers.set(
             dispatcher.now + dispatcher.limits.connect, self.connect_timed_out, link
         )
@@ -93,9 +100,8 @@
         outcome = AttemptOutcome.CONNECTION_LOST
         if link.state is ConnectionState.DIALING:
             outcome = AttemptOutcome.CONNECT_FAILED
-        link.state = ConnectionState.CLOSED
         link.unsent = []
-        link.host.connections.remove(link)
+        self.remove(link)
         self.dispatcher.counters[f"connections: {outcome}"] += bool(link.calls_in_flight)
         calls = list(link.calls_in_flight.values())
         if outcome is AttemptOutcome.CONNECTION_LOST and calls:
@@ -129,13 +135,46 @@
                 self.dispatcher.counters["silent connections closed"] += 1
                 self.close(link)
 
+    def close_beyond_limit(self, limit: float) -> None:
+        """Closes the longest idle connections until no more than ``limit`` are left.
+
+        With more hosts than descriptors, idle connections would otherwise take those that clients
+        need. The cost is dialing a host again that is called rarely. Connections that carry calls
+        are kept, even beyond the limit.
+        """
+        while len(self.all) > limit and self.close_longest_idle():
+            self.dispatcher.counters["idle host connections closed for others"] += 1
+
+    def close_longest_idle(self) -> bool:
+        """Closes the longest idle connection; returns False if every one carries a call."""
+        idle = (
+            link
+            for link in self.all
+            if link.state is ConnectionState.OPEN and not link.calls_in_flight
+        )
+        longest_idle = min(idle, key=last_used, default=None)
+        if longest_idle is None:
+            return False
+        self.close(longest_idle)
+        return True
+
     def close(self, link: HostConnection) -> None:
         """Closes an open connection on which no call is in flight."""
+        self.remove(link)
+        link.writer.close("")
+
+    def remove(self, link: HostConnection) -> None:
+        """Marks a connection as closed and removes it from all tables; no other method does."""
         link.state = ConnectionState.CLOSED
         link.host.connections.remove(link)
-        link.writer.close("")
+        self.all.pop(link, None)  # a replaced dispatcher's connection is not in this table
 
 
 def count_calls(link: HostConnection) -> int:
     """Returns the number of calls in flight on a connection."""
     return len(link.calls_in_flight)
+
+
+def last_used(link: HostConnection) -> float:
+    """Returns when a connection last carried a message, in ms."""
+    return link.last_used_ms
--- a/cherrydoor/platform/client_connection.py
+++ b/cherrydoor/platform/client_connection.py
@@ -163,7 +163,15 @@
             loop.call_later(CLOSE_READ_TIMEOUT_S, self.transport.close)
 
     def close(self, reason: str = "", retry_after_ms: float = 0.0) -> None:
-        """Closes at admission's request; with a reason, a 503 response is sent if possible."""
+        """Closes at admission's request; with a reason, a 503 response is sent if possible.
+
+        A request that was passed to the dispatcher keeps the connection open until the dispatcher's
+        own response, because a 503 response would promise that the request has had no effect, and
+        an attempt may be running.
+        """
+        if self.awaiting_id is not None and not self.closing:
+            self.conversation.close_after_response()
+            return
         if reason:
             self.respond(SERVICE_UNAVAILABLE, reason, retry_after_ms, close=True)
         if not self.closing:
--- a/cherrydoor/platform/configuration.py
+++ b/cherrydoor/platform/configuration.py
@@ -74,6 +74,7 @@
         spare: Time subtracted from each request's timeout.
         per_link: Attempts on one connection at a time.
         links: Connections to one host; changes with the number of hosts.
+        host_connections: Connections to all hosts together.
         tells: Whether hosts report copies, and whether they report concurrency.
         most_open: Requests in flight.
         connect: Timeout for opening a connection.
@@ -88,6 +89,7 @@
     spare: float
     per_link: int
     links: int
+    host_connections: int
     tells: tuple[bool, bool]
     most_open: int
     connect: float
@@ -112,6 +114,7 @@
             spare=RETURN_MARGIN_MS,
             per_link=1,
             links=1,
+            host_connections=1,
             tells=tells,
             most_open=permissions.get("mostHeld", 20000),
             connect=connect_ms,
@@ -209,6 +212,7 @@
         """Divides the descriptors for upstream connections among this number of hosts."""
         slots = platform_slots(self.descriptors, RESERVED_DESCRIPTORS, hosts)
         self.limits.links = slots.per_host
+        self.limits.host_connections = slots.upstream
 
     def known_host_count(self) -> int:
         """Returns the number of known endpoints that are not gone."""
--- a/cherrydoor/platform/discovery_watch.py
+++ b/cherrydoor/platform/discovery_watch.py
@@ -115,7 +115,7 @@
         self.connection = connection
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S * timeout_factor):
-                await open_connection(self.service.listeners, lambda: connection, *address(server))
+                await open_connection(self.service, lambda: connection, *address(server))
         except (TimeoutError, OSError) as error:
             connection.end("")
             return f"not connected: {error or 'timeout'}"
--- a/cherrydoor/platform/process.py
+++ b/cherrydoor/platform/process.py
@@ -203,6 +203,7 @@
             hosts=len(self.dispatcher.hosts),
             memory_used_mb=round(self.usage.base_memory_bytes / 2**20, 1),
             connections_per_host=self.configuration.limits.links,
+            host_connections=self.configuration.limits.host_connections,
             client_slots=self.configuration.client_limits.connection_slots,
             cores=self.configuration.cores,
             memory_limit_mb=self.configuration.memory_bytes >> 20,
--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -257,21 +257,28 @@
     )
 
 
-def test_unknown_clients_are_closed_when_an_upstream_connection_needs_a_descriptor():
+def test_only_unknown_clients_without_a_request_are_closed_for_an_upstream_connection():
+    # Guards against a refusal that promises no effect while a host runs the request.
     harness = ControllerHarness(40, [HARBOUR])
-    known, busy, idle = (
+    known, busy, sending, idle = (
         harness.connect("10.1.0.9"),
         harness.connect(unknown_address(1)),
+        harness.connect(unknown_address(3)),
         harness.connect(unknown_address(2)),
     )
     busy.open = 1
+    sending.partial = harness.now
     harness.post(DescriptorsExhausted(True))
     assert harness.reason(idle) == "descriptors have run out"
-    harness.post(DescriptorsExhausted(True))
-    assert (
-        harness.reason(busy) == "descriptors have run out"
-        and known.state == ConnectionState.ADMITTED
+    for _ in range(100):
+        harness.wait(100, descriptors=1.0)
+        sending.used = sending.partial = harness.now
+        harness.post(DescriptorsExhausted(True))
+        harness.post(DescriptorsExhausted(False))
+    assert all(
+        connection.state == ConnectionState.ADMITTED for connection in (known, busy, sending)
     )
+    harness.wait(10_000)
     first = [
         a.duration_ms
         for a in harness.post(DescriptorsExhausted(False))
--- a/tests/behaviour/test_state_machine_digests.py
+++ b/tests/behaviour/test_state_machine_digests.py
@@ -344,7 +344,7 @@
         13,
         new_client_limits(300, connection_rate=50.0, connection_burst=20.0, seed=7, pending=24),
         9,
-        "fe3b6e4f285669895fef30e21530895f78a6d6690b0470906ef1f9b6259734d1",
+        "5895f5b686d5c4a50c535169bd5f6e85f4dcad643315db37b3d5067dcf70d2df",
     ),
     "the limits on the platform": (
         14,
