A discovery server that answers heads and tells nothing confirms no list

Cause: WatchConnection confirmed the endpoint list 0.25 s after a connection's first input, whatever it was, and a confirmation also clears what failed health checks have shown. The head is written by whatever accepts the connection and says nothing of the stream.

Change: a connection confirms the list only by what a working server sends: first a comment on that connection, then each complete comment or event, as of the time at which it came, and not while an event is incomplete. Such a server sends a comment each second, so a silent one can no longer renew the leases that the list gives.

--- a/cherrydoor/codecs/sse.py
+++ b/cherrydoor/codecs/sse.py
@@ -118,14 +118,15 @@
     """Reads the response to a watch request: bytes in, complete updates out.
 
     Attributes:
-        lines: Number of complete lines so far; each shows that the stream is alive.
-        comments: How many of these lines are comments.
+        comments: Number of complete comments so far.
+        events: Number of complete events so far, whether they carry an update or not.
     """
 
     def __init__(self) -> None:
-        self.lines = 0
         self.comments = 0
+        self.events = 0
         self._incomplete_line = b""
+        self._event_begun = False
         self._data_lines: list[bytes] = []
         self._http = h11.Connection(h11.CLIENT)
         self._http.send(
@@ -133,6 +134,11 @@
         )
         self._http.send(h11.EndOfMessage())
 
+    @property
+    def is_within_message(self) -> bool:
+        """Whether a comment or an event has begun to arrive and is not complete."""
+        return self._event_begun or bool(self._incomplete_line)
+
     def feed(self, data: bytes) -> list[EndpointUpdate]:
         """Returns the updates that these bytes complete.
 
@@ -170,16 +176,25 @@
 
     def _read_line(self, line: bytes) -> EndpointUpdate | None:
         """Returns the update that this line completes, if any."""
-        self.lines += 1
         if line.startswith(b":"):
             self.comments += 1
-        elif line.startswith(b"data:"):
-            self._data_lines.append(line[5:].removeprefix(b" "))
-        elif not line and self._data_lines:
-            text = b"\n".join(self._data_lines)
-            self._data_lines = []
-            try:
-                return read_update(json.loads(text))
-            except ValueError as error:
-                raise UnreadableError(f"event data is not valid JSON: {error}") from None
-        return None
+            return None
+        if line:
+            self._event_begun = True
+            if line.startswith(b"data:"):
+                self._data_lines.append(line[5:].removeprefix(b" "))
+            return None
+        self.events += self._event_begun
+        self._event_begun = False
+        return self._end_event()
+
+    def _end_event(self) -> EndpointUpdate | None:
+        """Returns the update in the data of the event that has ended, if it has any."""
+        if not self._data_lines:
+            return None
+        text = b"\n".join(self._data_lines)
+        self._data_lines = []
+        try:
+            return read_update(json.loads(text))
+        except ValueError as error:
+            raise UnreadableError(f"event data is not valid JSON: {error}") from None
--- a/cherrydoor/platform/discovery_watch.py
+++ b/cherrydoor/platform/discovery_watch.py
@@ -85,7 +85,7 @@
             revision_before = self.last_revision
             reason = await self.read_connection(server, 2 ** min(failures, MAX_TIMEOUT_DOUBLINGS))
             progressed = self.last_revision > revision_before
-            was_open = self.connection is not None and self.connection.reader.lines
+            was_open = self.connection is not None and self.connection.heard_at_ms is not None
             if progressed or self.server != server or (reason == SILENT and was_open):
                 failures = 0
             else:
@@ -134,14 +134,14 @@
                 await asyncio.sleep(0)
         return connection.ended.result()
 
-    def confirm(self) -> None:
-        """Notifies the dispatcher that the endpoint list is up to date.
+    def confirm(self, at_ms: float) -> None:
+        """Notifies the dispatcher that the endpoint list was up to date.
 
-        The list counts as up to date at the time of the last tick, not of the present moment:
-        after a stall of this process, the input that it reads may be as old as that tick.
+        Args:
+            at_ms: When it was, in ms of the service's clock.
         """
         if not self.suspended:
-            self.confirmed_at_ms = max(self.confirmed_at_ms, self.service.dispatcher.now)
+            self.confirmed_at_ms = max(self.confirmed_at_ms, at_ms)
             if self.requested_at_ms is not None and self.requested_at_ms <= self.confirmed_at_ms:
                 self.requested_at_ms = None
             self.post_list_age()
