A discovery connection that is silent after its head is given up in 1.8 s

The doubled timeouts are meant for servers that answer late, until their first input.

Cause: read_connection worked out the wait before the first input had come and did not look again until it was over.

Evidence: silent_ms 1800, 3599 and 7200 in the log, though each connection had its head within a millisecond. So updates reached the gateway up to 5.4 s later than they could have, where a reconnection would have told them.

Change: a wait is no longer than the timeout after the first input, and the timeout is worked out again after it.

Test: a_connection_that_is_silent_after_its_head_is_given_up_in_the_usual_time took 7.2 s on the code before and takes 1.8 s.

--- a/cherrydoor/platform/discovery_watch.py
+++ b/cherrydoor/platform/discovery_watch.py
@@ -128,7 +128,8 @@
             if remaining_s <= 0:
                 connection.end(SILENT)
                 break
-            await asyncio.wait([connection.ended], timeout=remaining_s)
+            # No longer than the timeout after the first input, which may come in this time.
+            await asyncio.wait([connection.ended], timeout=min(remaining_s, READ_TIMEOUT_S))
             # After a stall, input that is ready is read before the timeout is checked.
             for _ in range(2):
                 await asyncio.sleep(0)
--- a/tests/platform/test_discovery_outage.py
+++ b/tests/platform/test_discovery_outage.py
@@ -27,6 +27,7 @@
 from platform_harness import SETTINGS, reply, with_harness
 
 from cherrydoor.codecs import sse
+from cherrydoor.platform.discovery_watch import MAX_TIMEOUT_DOUBLINGS, READ_TIMEOUT_S
 
 GRACE_S = 0.5
 # From the start of an outage until a drain counts as announced, by the protocol page.
@@ -245,6 +246,18 @@
     await until(lambda: watch.requested_at_ms is None)
 
 
+# Guards against a silent connection that is kept for as long as a server that answers late may take.
+@with_harness
+async def test_a_connection_that_is_silent_after_its_head_is_given_up_in_the_usual_time(harness):
+    watch = await until_settled(harness)
+    watch.task.cancel()
+    harness.discovery_servers[0].heads_only = True
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    assert await watch.read_connection(watch.server, 2**MAX_TIMEOUT_DOUBLINGS) == "silent"
+    assert READ_TIMEOUT_S <= loop.time() - began_s < 1.5 * READ_TIMEOUT_S
+
+
 # Guards against an update of which the rest is missing, and which may announce a drain.
 @with_harness
 async def test_an_incomplete_update_confirms_nothing_until_it_is_complete(harness):
