The test of hostile client bytes tells valid readiness probes apart

Cause: the test draws bytes and held every message but a bad request for a fault; a draw may be a valid probe (GET /ping HTTP/1.1, Host:), which the program answers rightly.

Change: the test reads probes without the codec. A probe has to be read as one; everything else is a bad request or nothing, as before. So it is as strict for all else, and stricter for probes. Six fixed examples, the draw that failed among them, are played each time; that one is red in the test as it was.

--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -1,9 +1,10 @@
 """Codecs of the platform's wires: input that is complete, split anywhere, malformed or hostile."""
 
 import json
+import re
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from platform_harness import FUNCTION, call, reply
 
@@ -115,11 +116,35 @@
     assert closes and data.startswith(b"HTTP/1.1 200") and conversation.feed(call(ID)) is None
 
 
+# The head of a readiness probe at the start of the input; lines may end with a line feed alone.
+PROBE_HEAD = re.compile(
+    rb"GET /ping HTTP/1\.1\r?\n((?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*\r?\n)*)\r?\n"
+)
+
+
+def is_readiness_probe(data):
+    """Whether the bytes begin with a valid readiness probe, read without the codec."""
+    head = PROBE_HEAD.match(data)
+    if head is None:
+        return False
+    names = re.findall(rb"(?m)^([^:]+):", head[1].lower())
+    return names.count(b"host") == 1 and not {b"content-length", b"transfer-encoding"} & set(names)
+
+
 @settings(max_examples=200, deadline=None)
 @given(st.binary(max_size=300), st.lists(st.integers(0, 300), max_size=5))
+@example(b"GET /ping HTTP/1.1\nHost:\n\n", [])
+@example(b"GET /ping HTTP/1.1\r\nHost: x\r\n\r\n\x00", [3])
+@example(b"GET /ping HTTP/1.1\n\n", [])
+@example(b"GET /ping HTTP/1.1\nHost:\nhost:\n\n", [])
+@example(b"\r\nGET /ping HTTP/1.1\nHost:\n\n", [])
+@example(b"POST /ping HTTP/1.1\nHost:\n\n", [])
 def test_hostile_bytes_of_a_client_are_bad_requests_and_raise_nothing(data, cuts):
     message = last_message(data, [cut for cut in cuts if cut <= len(data)])
-    assert message is None or type(message) is invoke.BadRequest
+    if is_readiness_probe(data):
+        assert type(message) is invoke.Ping
+    else:
+        assert message is None or type(message) is invoke.BadRequest
 
 
 @settings(max_examples=200, deadline=None)
--- a/tests/platform/test_discovery_outage.py
+++ b/tests/platform/test_discovery_outage.py
@@ -246,7 +246,7 @@
     await until(lambda: watch.requested_at_ms is None)
 
 
-# Guards against a silent connection that is kept for as long as a server that answers late may take.
+# Guards against a silent connection that is kept for as long as a slow server may take to answer.
 @with_harness
 async def test_a_connection_that_is_silent_after_its_head_is_given_up_in_the_usual_time(harness):
     watch = await until_settled(harness)
