Our own protocol: a client closed for an unfinished frame gets its responses first

What was seen: a client whose frame stays unfinished for longer than `unfinished` is closed by admission, and its requests in flight, of which hosts may run some, get no response at all.

Cause: the same as in the platform's refusal of a busy client: admission ends a connection, and nobody asks what is open on it. No promise was broken, as a `fault` says nothing of requests.

Change: an admitted connection that admission closes drops its input, answers what has been read, in the next tick or later, and closes with the same reason, after 30 s at most (streams have no deadline).

--- a/cherrydoor/gateway/client_listener.py
+++ b/cherrydoor/gateway/client_listener.py
@@ -7,6 +7,7 @@
 
 from cherrydoor.admission import messages as admission
 from cherrydoor.admission.chunked_reading import CHUNK_BYTES, ChunkedReading
+from cherrydoor.admission.connections import CLOSED
 from cherrydoor.connection import FramedConnection, OrderedSet
 from cherrydoor.gateway.dispatcher import ClientConnection
 from cherrydoor.gateway.sockets import peer_closed
@@ -31,6 +32,9 @@
 # Time after which such a connection is closed even if it is not idle, so that a client that never
 # pauses cannot keep using a withdrawn credential.
 MAX_WITHDRAWAL_S = 30.0
+# Time for which a connection that admission control has closed waits for the responses to its
+# requests in flight. It is longer than most deadlines; a stream has none.
+MAX_RESPONSE_WAIT_S = 30.0
 # Requests that clients sent before an incarnation ended are still read for this time, and rejected
 # with a retry-after.
 FINAL_READ_S = 0.05
@@ -45,6 +49,8 @@
         credential_facts: What the client's certificate or token proves; set on its hello.
         retry_after_ms: Set once the incarnation that admitted the client has ended; its requests
             are then rejected with this retry-after.
+        discards_input: Whether admission control has closed the connection, which stays open for
+            the responses to its requests in flight.
     """
 
     def __init__(self, service: "GatewayService", incoming: Any) -> None:
@@ -62,6 +68,7 @@
         self.client = ClientConnection(self, has_closed=self.has_closed)
         self.credential_facts: PeerCredentials = {}
         self.retry_after_ms: float | None = None
+        self.discards_input = False
         incoming.connection.open = self.client.pending_requests
 
     def connection_made(self, transport: Any) -> None:
@@ -75,6 +82,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Decodes input and reports to admission control how many bytes are unfinished."""
+        if self.discards_input:
+            return
         message_count = self.process_data(data)
         if (
             message_count
@@ -85,6 +94,21 @@
             message_count += self.process_data(b"")  # messages that arrived with the hello
         self.report_unfinished_bytes(len(self.reader.buffer), message_count)
 
+    def close(self, reason: str = "", retry_after_ms: float = 0.0) -> None:
+        """Closes the connection, with the reason if there is one.
+
+        Where admission control closes a connection that it had admitted, the requests that were
+        read are answered first: a client that sends its frames too slowly is still owed those
+        responses. Further input is dropped.
+        """
+        closed_by_admission = self.incoming.connection.state is CLOSED
+        if closed_by_admission and not self.discards_input and self in self.owner.connections:
+            self.discards_input = True
+            self.reader.buffer.clear()
+            self.owner.close_when_answered(self, reason, retry_after_ms)
+        else:
+            super().close(reason, retry_after_ms)
+
     def admitted(self, max_frame_bytes: int) -> None:
         """Accepts larger frames from now on, as admission control has admitted the client."""
         self.reader.max_frame_bytes = min(max_frame_bytes, self.owner.service.bounds.frame)
@@ -179,6 +203,50 @@
             )
 
     # ---- closing connections
+    def close_when_answered(
+        self, client_connection: ClientProtocol, reason: str, retry_after_ms: float
+    ) -> None:
+        """Closes a connection that admission control has closed, once its requests are answered.
+
+        Args:
+            client_connection: An admitted connection, whose input is dropped from now on.
+            reason: Sent to the client.
+            retry_after_ms: Sent with the reason.
+        """
+        until_s = asyncio.get_running_loop().time() + MAX_RESPONSE_WAIT_S
+        # In the next tick, which first accepts the requests that have been read.
+        self.service.post(
+            self.close_if_answered, client_connection, reason, retry_after_ms, until_s
+        )
+
+    def close_if_answered(
+        self,
+        client_connection: ClientProtocol,
+        reason: str,
+        retry_after_ms: float,
+        until_s: float,
+    ) -> None:
+        """Closes a connection without requests in flight; otherwise checks again later.
+
+        Args:
+            client_connection: See `close_when_answered`.
+            reason: Sent to the client.
+            retry_after_ms: Sent with the reason.
+            until_s: Event loop time at which the connection is closed in any case.
+        """
+        loop = asyncio.get_running_loop()
+        if client_connection.client.pending_requests and loop.time() < until_s:
+            loop.call_later(
+                IDLE_CHECK_INTERVAL_S,
+                self.close_if_answered,
+                client_connection,
+                reason,
+                retry_after_ms,
+                until_s,
+            )
+        else:
+            client_connection.close(reason, retry_after_ms)
+
     def close_with_incarnation(
         self, client_connection: ClientProtocol, reason: str, retry_after_ms: float
     ) -> None:
--- a/tests/admission/test_flood.py
+++ b/tests/admission/test_flood.py
@@ -254,6 +254,26 @@
     assert not stack.service.listeners.controller.pending.unidentified
 
 
+# Guards against requests in flight that lose their response to an unfinished frame behind them.
+@with_stack
+async def test_a_frame_that_is_never_completed_does_not_cost_the_running_requests_a_response(stack):
+    host = Host()
+    client = await stack.start(host, bounds="bounds: {}\nadmission: {unfinished: 300ms}")
+    number = client.send(request_class="archive", timeout_ms=4500.0)
+    [attempt] = await host.wait_for(protocol.Attempt)
+    request = codec.encode(protocol.Request(9, "archive", "f", 4e3, now(), body=b"b" * 99))
+    client.end.transport.write(request[:-1])
+    counters = stack.service.listeners.controller.counters
+    while not counters.get("closed: a frame was not finished in time"):
+        await asyncio.sleep(0.01)
+    client.end.transport.write(request[-1:])
+    host.outcome(attempt)
+    assert (await client.answer(number)).outcome == "handled"
+    await client.until(lambda: client.ended_count)
+    assert client.end.close_reason == "peer: a frame was not finished in time"
+    assert len(host.all(protocol.Attempt)) == 1
+
+
 @with_stack
 async def test_a_flood_of_requests_on_one_connection_does_not_delay_other_clients(stack):
     from stack import Client
