--- a/cherrydoor/codecs/invoke.py
+++ b/cherrydoor/codecs/invoke.py
@@ -211,8 +211,8 @@
         failed: Whether a BadRequest was returned, so that nothing more is read.
         used_fast_path: Whether the open call was parsed by the fast path, so that h11 has seen nothing of it.
         pipeline_overflowed: Whether more was pipelined than the limit, or `close_after_response` was called. The rest
-            of the input is dropped, and the connection closes with the open call's response. Reading goes on, because the end of the input shows that the client
-            has disconnected.
+            of the input is dropped, and the connection closes with the open call's response. Reading goes on, because
+            the end of the input shows that the client has disconnected.
     """
 
     def __init__(self):
--- a/cherrydoor/gateway/incarnations.py
+++ b/cherrydoor/gateway/incarnations.py
@@ -66,7 +66,7 @@
         self.answer_unreplicated_requests(peer_services, retry_after_ms)
         self.reject_queued_requests(retry_after_ms)
         self.begin_next(
-            lambda client_connection: service.client_listener.close_with_incarnation(
+            lambda client_connection: service.client_listener.closing.close_with_incarnation(
                 client_connection, INCARNATION_ENDED, retry_after_ms[client_connection]
             )
         )
--- a/cherrydoor/gateway/service.py
+++ b/cherrydoor/gateway/service.py
@@ -118,7 +118,7 @@
         files = {name: value for name, value in settings.items() if name not in KEY_EXPIRY_SETTINGS}
         policy = ExpiryPolicy(settings["standing"], settings["warn"], self.config.seed)
         credentials = CredentialSettings.from_config_keys(**files, usage=policy)
-        return CredentialManager(credentials, self.client_listener.withdraw)
+        return CredentialManager(credentials, self.client_listener.closing.withdraw)
 
     def make_dispatcher(self) -> Dispatcher:
         """Makes the dispatcher of an incarnation, with a new router."""
