--- a/cherrydoor/config/figures.py
+++ b/cherrydoor/config/figures.py
@@ -80,7 +80,8 @@
         per_link: Attempts on one connection before another one is opened.
         links: Connections to one host; beyond that, attempts share connections.
         host_connections: Connections to all hosts together; beyond that, a new connection first
-            closes an idle one. Set from the process's descriptors.
+            closes an idle one. The daemon sets it from the descriptors of its process; the
+            configuration does not state it.
         connect: Timeout for connecting to a host.
         idle: Time after which an unused connection to a host is closed.
         probe: Timeout of a health check.
@@ -93,6 +94,8 @@
             enough calls were sent to the host to justify that cost.
     """
 
+    host_connections = inf
+
     def __init__(
         self,
         spare=50.0,
@@ -107,7 +110,6 @@
         tells=(True, True),
         silence=inf,
         handshake=0.0,
-        host_connections=inf,
     ):
         self.spare, self.most_open, self.per_link, self.links, self.silence = (
             spare,
@@ -124,7 +126,6 @@
             stay,
         )
         self.tells, self.handshake = tells, handshake
-        self.host_connections = host_connections
 
 
 def request_class_of(entry):
