--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,7 +1,7 @@
-"""Case 6: a gateway that stands still gives requests the time that their clients no longer have."""
+"""Case 6: in an outage of discovery, a keyed request is repeated outside the cell that knows it."""
 
 import asyncio
-import signal
+import time
 
 from stands.case import run
 from stands.clients import Client
@@ -9,24 +9,25 @@
 from stands.gateway import Gateway, settings
 from stands.hosts import Host
 
-HOSTS = 6
-CYCLES = 6
-CLIENTS = 4  # of each gateway
-STILL_S = 1.6  # the page: 1,100 to 2,000 ms
-CYCLE_S = 3.4  # the page: every 2.4 to 3.6 s
-SENT_AFTER_S = 0.05  # after the gateway has begun to stand still
-PATIENCE_MS = 2000  # the page: 50 to 100% of the max age of 3 s
-LOAD_S = 1.0  # the page: 0.49 to 1 s on average
-WORK_S = 0.2  # the page: 130 to 220 ms on average
-LATE_S = 0.5  # up to so long after its time, an answer only earns nothing
-LIMIT_SLACK_S = 0.15
-
-
-def turnos(me):
+# Eight hosts in cells of three; the last cell gets its third host by the replacement.
+CELLS = {"s-a": 1, "s-b": 1, "s-c": 1, "s-d": 2, "s-e": 2, "s-f": 2, "s-g": 3, "s-h": 3}
+REPLACED, BAD = "s-c", "s-b"  # the page: one of eight hosts is bad
+SUCCESSOR, SUCCESSOR_CELL = "s-z", 3
+WARM_UP_S = 2.5
+OUTAGE_S = 8.0  # the page: discovery is down for 8 s
+REPLACED_AFTER_S = 1.0  # after the outage began
+DOWN_S = 0.4  # between the end of the old host and the start of its successor
+TOLD_AFTER_S = 4.0  # what discovery would have told counts as told by then
+GRACE_S = 0.25 + 0.05  # drain grace of the site, and the slack on sockets
+PATIENCE_MS = 2500
+PAUSE_S = 0.08
+
+
+def stated():
     """Returns the settings of `turnos-donantes`, as far as a gateway reads them."""
-    stated = settings()
-    stated.update(instances=2, me=me, tenants=[])
-    stated["requestClasses"] = [
+    found = settings()
+    found["tenants"] = []
+    found["requestClasses"] = [
         {"name": "slot-query", "aim": 800000, "deadline": 3000000, "repeat": "repeatable"},
         {
             "name": "booking-write",
@@ -37,99 +38,98 @@
             "dedupWindow": 6000000,
         },
     ]
-    stated["rules"] = {
+    found["rules"] = {
         "coldFrom": 0.17,
         "cold": 17000000,
         "overloadFactor": 2.0,
         "fall": 3000000,
         "drainGrace": 250000,
     }
-    stated["familyInfo"].update(saysWarm=False, saysCompany=False, lingerIdle=8500000)
-    return stated
+    found["familyInfo"].update(saysWarm=False, saysCompany=False, lingerIdle=8500000)
+    return found
 
 
 class Runner(Host):
-    """A runner that loads a handler while the request waits, and then works."""
+    """A runner; those of one cell drop a repeat of what one of them has run."""
 
-    def __init__(self, name, record):
-        super().__init__(name, record)
-        self.loaded = set()
-        self.serve_request = self.load_and_work
+    resetting = False  # whether it resets the connection under each request that it has run
 
-    async def load_and_work(self, execution):
-        """Loads the handler if need be, works, answers."""
-        item = execution.fields["item"]
-        if item not in self.loaded:
-            await asyncio.sleep(LOAD_S)
-            self.loaded.add(item)
-        await asyncio.sleep(WORK_S)
-        execution.answer(fields=b"meter=inflight:0;x0:0.2;x1:0")
+    def __init__(self, name, record, cell, seen):
+        super().__init__(name, record)
+        self.cell, self.seen = cell, seen
+        self.serve_request = self.run_once_in_cell
+
+    async def run_once_in_cell(self, execution):
+        """Runs the request unless the cell has run it; answers, or resets the connection."""
+        await asyncio.sleep(0.15)
+        mark = execution.fields.get("nonce")
+        if mark not in self.seen.setdefault(self.cell, {}):
+            self.seen[self.cell][mark] = self.name
+            self.record.write(
+                self.name, f"RUNS {execution.id} with mark {mark} in cell {self.cell}"
+            )
+        if self.resetting:
+            self.record.write(self.name, f"resets the connection under {execution.id}")
+            execution.writer.transport.abort()
+        else:
+            execution.answer(fields=b"meter=inflight:0;x0:0.2;x1:0")
+
+
+async def replace(case, bulletin, hosts, seen):
+    """One host ends, and a new host of another cell starts at its address."""
+    old = hosts.pop(REPLACED)
+    old.reset()
+    case.record.write(REPLACED, "has ended for good")
+    bulletin.tell([row(old, "terminated", cell=1)])
+    await asyncio.sleep(DOWN_S)
+    new = Runner(SUCCESSOR, case.record, SUCCESSOR_CELL, seen)
+    await new.open(old.port)
+    hosts[SUCCESSOR] = new
+    bulletin.tell([row(new, started_at_ms=int(time.time() * 1000), cell=SUCCESSOR_CELL)])
+
+
+async def calls(client, until_s, number=0):
+    """Calls many functions, so that each host gets some; each call carries a mark of its own."""
+    while asyncio.get_running_loop().time() < until_s:
+        number += 1
+        mark = f"mark-{client.name}-{number}"
+        await client.request(
+            PATIENCE_MS,
+            function=f"{number % 40 * 104729 + 1:016x}",
+            request_class="booking-write",
+            more=[f"X-Dedupe-Key: {mark}"],
+        )
+        await asyncio.sleep(PAUSE_S)
 
 
 async def play(case):
-    """Sends the same requests to a gateway that stands still and to one that does not."""
-    record = case.record
-    hosts = [await Runner(f"s-{number}", record).open() for number in range(HOSTS)]
+    """Replaces a host, with or without an outage of discovery, and resets connections of another."""
+    loop, record = asyncio.get_running_loop(), case.record
+    seen = {}
+    hosts = {name: await Runner(name, record, cell, seen).open() for name, cell in CELLS.items()}
     bulletin = await Bulletin(record).open()
-    bulletin.tell([row(host) for host in hosts])
-    gateways = [Gateway(record, bulletin, turnos(me), f"n{me}") for me in range(2)]
-    for gateway in gateways:
-        case.closers.append(gateway.end)
-        await gateway.start()
-    clients = [
-        (gateway, Client(f"{gateway.name}-c{number}", gateway.port, record))
-        for gateway in gateways
-        for number in range(CLIENTS)
-    ]
-    for _, client in clients:
-        await client.open()
-        await client.request(PATIENCE_MS, request_class="slot-query", function="00" * 8)
-    for cycle in range(CYCLES):
-        await one_cycle(case, hosts, gateways[0], clients, cycle)
-
-
-async def one_cycle(case, hosts, stalled, clients, cycle):
-    """The first gateway stands still for a while, in which each client sends a request."""
-    record = case.record
-    begun_s = asyncio.get_running_loop().time()
+    bulletin.tell([row(host, cell=host.cell) for host in hosts.values()])
+    gateway = Gateway(record, bulletin, stated())
+    case.closers.append(gateway.end)
+    await gateway.start()
+    begun_s = loop.time() + WARM_UP_S
+    clients = [Client(f"c{number}", gateway.port, record) for number in range(3)]
+    tasks = [asyncio.ensure_future(calls(client, begun_s + OUTAGE_S)) for client in clients]
+    await asyncio.sleep(WARM_UP_S)
     if case.trouble:
-        stalled.signal(signal.SIGSTOP)
-    await asyncio.sleep(SENT_AFTER_S)
-    tries = [
-        client.request(
-            PATIENCE_MS, LATE_S, request_class="slot-query", function=f"{cycle:08x}{number:08x}"
-        )
-        for number, (_, client) in enumerate(clients)
-    ]
-    answers = asyncio.gather(*tries)
-    await asyncio.sleep(STILL_S - SENT_AFTER_S)
+        record.write("bulletin", "breaks off, and accepts no connection")
+        bulletin.pause()
+    await asyncio.sleep(REPLACED_AFTER_S)
+    await replace(case, bulletin, hosts, seen)
+    await asyncio.sleep(begun_s + TOLD_AFTER_S + GRACE_S + 0.2 - loop.time())
+    hosts[BAD].resetting = True
+    await asyncio.gather(*tasks)
     if case.trouble:
-        stalled.signal(signal.SIGCONT)
-    for (gateway, client), answer in zip(clients, await answers, strict=True):
-        judge(case, hosts, gateway, client, answer)
-    record.write("case", f"cycle {cycle} is over")
-    await asyncio.sleep(max(0.0, begun_s + CYCLE_S - asyncio.get_running_loop().time()))
-
-
-def judge(case, hosts, gateway, client, answer):
-    """A request needs its final answer half a second after its time at the latest."""
-    for host in hosts:
-        for execution in host.executions:
-            if execution.id == answer.id:
-                left_s = answer.sent_s + PATIENCE_MS / 1000 - execution.at_s
-                over_s = float(execution.fields["limit"]) / 1000 - left_s
-                if over_s > LIMIT_SLACK_S:
-                    case.record.write(
-                        "limit",
-                        f"{answer.id} at {host.name}: limit {execution.fields['limit']} ms, "
-                        f"but the client has {left_s * 1000:.0f} ms left",
-                    )
-    if answer.status in (None, 0):
-        case.breaks(
-            f"{client.name}: request {answer.id} has no answer {PATIENCE_MS / 1000 + LATE_S:.1f} s "
-            f"after it was sent ({answer.why}), though {gateway.name} ran "
-            f"{PATIENCE_MS / 1000 - STILL_S + SENT_AFTER_S:.2f} s of its time and 0.5 s more"
-        )
+        await bulletin.resume()
+    for mark in {mark for marks in seen.values() for mark in marks}:
+        ran = [f"{marks[mark]} (cell {cell})" for cell, marks in seen.items() if mark in marks]
+        if len(ran) > 1:
+            case.breaks(f"the keyed request with {mark} was applied twice: at {' and '.join(ran)}")
 
 
 run(play, __file__)
--- a/review/stands/discovery.py
+++ b/review/stands/discovery.py
@@ -41,6 +41,17 @@
         for writer in self.writers:
             writer.transport.abort()
 
+    def pause(self):
+        """Breaks off: resets all connections and accepts none; the list goes on changing."""
+        self.server.close()
+        writers, self.writers = self.writers, []
+        for writer in writers:
+            writer.transport.abort()
+
+    async def resume(self):
+        """Listens again at the same address."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+
     def tell(self, rows, reset=False):
         """Adds an event and sends it to all that are connected."""
         number = len(self.items) + 1
