--- a/review/8/play.py
+++ b/review/8/play.py
@@ -8,9 +8,10 @@
 from stands.clients import Client, ask
 from stands.discovery import Bulletin, row
 from stands.gateway import Gateway, settings
-from stands.hosts import Host
+from stands.host_process import HostProcess
 
 HOSTS = 1920  # sixteen times 120; the page: 3,200 at most
+PROCESSES = 8  # of the stand-in, with some hosts each
 REPLACED = 0.6  # the page: six in ten hosts
 WITHIN_S = 7.0  # the page: within 7 s
 DRAIN_S = 2.0  # the page: 2 to 6 s from the start of a drain to the end of the process
@@ -22,6 +23,13 @@
 LATE_S = 0.5  # up to so long after its time, an answer only earns nothing
 
 
+class Listed:
+    """A host as the list names it."""
+
+    def __init__(self, name, port, process):
+        self.name, self.port, self.process = name, port, process
+
+
 class Fleet:
     """The hosts of the list; each listens on a port of its own, which a successor takes over."""
 
@@ -31,8 +39,12 @@
 
     async def open(self):
         """Opens all hosts and tells the whole list in one event."""
-        for number in range(HOSTS):
-            self.hosts.append(await Host(f"s-{number:08x}", self.case.record).open())
+        for first in range(0, HOSTS, HOSTS // PROCESSES):
+            process = HostProcess(self.case.record)
+            self.case.closers.append(process.end)
+            names = [f"s-{number:08x}" for number in range(first, first + HOSTS // PROCESSES)]
+            for name, port in zip(names, await process.start(names), strict=True):
+                self.hosts.append(Listed(name, port, process))
         self.bulletin.tell([row(host, cell=index // 5) for index, host in enumerate(self.hosts)])
 
     async def replace(self, index):
@@ -40,11 +52,9 @@
         old = self.hosts[index]
         self.bulletin.tell([row(old, "terminating", cell=index // 5)])
         await asyncio.sleep(DRAIN_S)
-        port = old.port
-        old.reset()
-        self.bulletin.tell([row(old, "terminated", port=port, cell=index // 5)])
-        new = Host(f"t-{index:08x}", self.case.record)
-        await new.open(port)
+        new = Listed(f"t-{index:08x}", old.port, old.process)
+        await old.process.replace(old.name, new.name)
+        self.bulletin.tell([row(old, "terminated", cell=index // 5)])
         self.hosts[index] = new
         started_at_ms = int(time.time() * 1000)
         self.bulletin.tell([row(new, started_at_ms=started_at_ms, cell=index // 5)])
