--- a/review/stands/gateway.py
+++ b/review/stands/gateway.py
@@ -87,7 +87,7 @@
         document = {
             "name": self.name,
             "listen": f"127.0.0.1:{self.port}",
-            "seed": f"{0x8C1F30D27A5BE964 + self.starts:x}",
+            "seed": os.urandom(8).hex(),
             "limits": self.limits,
             "bulletin": f"127.0.0.1:{self.bulletin.port}",
             "known": self.bulletin.known(),
