--- a/review/stands/clients.py
+++ b/review/stands/clients.py
@@ -67,7 +67,7 @@
     """A client with one connection, which it opens when it needs it.
 
     A request has until its patience is over; the client reads for half a second more, as an answer
-    in that time only earns nothing, and then closes.
+    in that time only earns nothing, and 50 ms, the slack of the sockets, and then closes.
     """
 
     def __init__(self, name, port, record):
@@ -79,7 +79,7 @@
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
         return self
 
-    async def request(self, patience_ms, wait_more_s=0.5, **fields):
+    async def request(self, patience_ms, wait_more_s=0.55, **fields):
         """Sends a request and returns the answer, with the times of sending and of the answer."""
         if self.writer is None or self.writer.is_closing():
             await self.open()
