--- a/conftest.py
+++ b/conftest.py
@@ -2,8 +2,9 @@
 
 A listed test runs as a strict expected failure: if it passes again, the run fails until its line is
 removed. The end of the run prints each listed test with its cause and issue. At most
-``MAX_KNOWN_FAILURES`` tests may be listed. A malformed line, a line too many or a test that does not
-exist ends the run with an error. A missing or empty file means that there are no known failures.
+``MAX_KNOWN_FAILURES`` tests may be listed. A malformed line, a line too many or a test that does
+not exist ends the run with an error. A missing or empty file means that there are no known
+failures.
 """
 
 from dataclasses import dataclass
