A host is gone once another one is listed at its address

Meanwhile keyed requests that a third host had run were repeated at the address of the first host, outside the cell that drops repeats.

Cause: Upstream kept an address for each host id and never asked whether another host has it. Two processes cannot listen at one address, so the later entry shows that the earlier host is gone.

AddressTable keeps one owner for each address. A host at whose address another one is listed is gone for dispatcher and router until its successor is gone or the list reports another address or start of it.

On our own protocol a host's id is its address, so it has no such case.

--- a/cherrydoor/platform/upstream.py
+++ b/cherrydoor/platform/upstream.py
@@ -4,9 +4,12 @@
 from collections import Counter
 from typing import Any
 
-from cherrydoor.codecs import resp
+import msgspec
+
+from cherrydoor.codecs import resp, sse
 from cherrydoor.gateway.event_loop import dial
 from cherrydoor.gateway.sockets import after_input, peer_closed
+from cherrydoor.platform.address_table import AddressTable
 from cherrydoor.protocol import messages as protocol
 from cherrydoor.routing import messages as routing
 
@@ -15,9 +18,6 @@
 # for a host that stops in the middle of a reply. The cost is that a host which only stalls for this
 # time loses the connection and its attempts.
 REPLY_REST_TIMEOUT_S = 0.25
-# Addresses of gone hosts are removed once there are more than twice as many addresses as hosts,
-# plus this number.
-SPARE_ADDRESSES = 16
 OUTCOMES: dict[str, Any] = {
     resp.DONE: routing.AttemptOutcome.SUCCEEDED,
     resp.MISSING: routing.AttemptOutcome.FUNCTION_MISSING,
@@ -208,8 +208,7 @@
     """All connections to hosts, and the addresses of hosts.
 
     Attributes:
-        addresses: Address:port of each host that the dispatcher knows, by host id; entries of gone
-            hosts are removed from time to time.
+        addresses: Which listed host is at which address.
         connections: The open connections, in the order in which they were opened.
         traffic: Counts of each command and reply since the last trace line, by host id; None
             without a trace.
@@ -217,7 +216,7 @@
 
     def __init__(self, service: Any) -> None:
         self.service = service
-        self.addresses: dict[str, str] = {}
+        self.addresses = AddressTable()
         self.connections: dict[HostProtocol, bool] = {}
         self.traffic: dict[str, Counter[str]] | None = None
 
@@ -227,7 +226,7 @@
 
     async def connect(self, link: Any) -> None:
         """Opens a connection; notifies the dispatcher if that fails."""
-        host_address = self.addresses.get(link.host.id, "")
+        host_address = self.addresses.address_of(link.host.id)
         await dial(self.service, link, host_address, lambda: HostProtocol(self, link))
 
     def fail_connection(self, connection: HostProtocol, reason: str) -> None:
@@ -248,23 +247,44 @@
     ) -> None:
         """Updates the dispatcher's endpoint list, the addresses and each host's connection limit.
 
+        A host at whose address another one is now listed is gone.
+
         Args:
             kind: Whether the endpoints are the complete list or only the changed ones.
             endpoints: The endpoints, as the dispatcher's messages.
             addresses: Addresses of the endpoints that are not gone, by host id.
         """
-        self.addresses.update(addresses)
+        is_snapshot = kind == routing.UpdateKind.SNAPSHOT
+        displaced = self.addresses.update(endpoints, addresses, is_snapshot)
         dispatcher = self.service.dispatcher
-        dispatcher.endpoints_updated(kind, endpoints)
+        dispatcher.endpoints_updated(kind, self.without_displaced(endpoints, displaced))
         self.service.configuration.share_descriptors(
-            sum(host.row.state != "gone" for host in dispatcher.hosts.values())
+            sum(host.row.state != sse.GONE for host in dispatcher.hosts.values())
         )
-        if len(self.addresses) > 2 * len(dispatcher.hosts) + SPARE_ADDRESSES:
-            self.addresses = {
-                host_id: host_address
-                for host_id, host_address in self.addresses.items()
-                if host_id in dispatcher.hosts
-            }
+
+    def without_displaced(
+        self, endpoints: list[protocol.Endpoint], displaced: list[str]
+    ) -> list[protocol.Endpoint]:
+        """Returns the endpoints of an update with the displaced hosts as gone.
+
+        Args:
+            endpoints: The endpoints as they were listed.
+            displaced: Ids of the displaced hosts; the update need not list them.
+        """
+        if not displaced:
+            return endpoints
+        dispatcher = self.service.dispatcher
+        rows = {endpoint.host: endpoint for endpoint in endpoints}
+        for host_id in displaced:
+            row = rows.get(host_id)
+            host = dispatcher.hosts.get(host_id)
+            if host is not None and host.row.state != sse.GONE:
+                dispatcher.counters["hosts displaced at their address"] += 1
+                self.service.log.write_limited("host displaced at its address", host=host_id)
+                row = row or host.row
+            if row is not None:
+                rows[host_id] = msgspec.structs.replace(row, state=sse.GONE)
+        return list(rows.values())
 
     def count_traffic(self, host_id: str, event: str) -> None:
         """Counts a command or reply, while a trace is on."""
--- a/tests/platform/platform_harness.py
+++ b/tests/platform/platform_harness.py
@@ -222,6 +222,10 @@
     async def start_in_process(self, hosts=("a",), **changed):
         """Does the same with the gateway on the test's event loop; returns its service."""
         await self.prepare(hosts)
+        return await self.serve_in_process(**changed)
+
+    async def serve_in_process(self, **changed):
+        """Starts a gateway on the test's event loop and waits until it is ready."""
         file = self.configuration(**changed)
         self.service = PlatformService(configuration.read(file, None, 1024), file)
         self.task = asyncio.create_task(self.service.run())
