Repeat a keyed request only where the process is known to be the listed host

Cause: the rule on repeats went by the cell of the list's entry, and nothing asked whether the process at the address is that host. A health check that renews its lease shows only that some process listens; that all connections had been reset was known to the dispatcher alone. Evidence: in the record s-z answers the checks meant for s-c and applies the repeat. Two relatives were found on the way, each red before: with discovery up a successor that is not listed yet gets repeats too, and a request that a successor ran first is repeated in the cell of the host before it.

The dispatcher now notifies the router since when a host has been connected without a gap and when it last broke its connections. HostIdentity confirms a process unless connections broke within the time in which a complete list would report a successor; with an incomplete list a connection must have been open since then. A request that only a zone or cell deduplicates is repeated only if both its first and its next host are confirmed. A keyed attempt that waits for a connection is held back if no connection was left open meanwhile.

--- a/cherrydoor/gateway/dispatcher.py
+++ b/cherrydoor/gateway/dispatcher.py
@@ -191,10 +191,18 @@
         return self.timers.next_due_ms(self.request_table.is_obsolete)
 
     def notify_router(self) -> None:
-        """Passes all queued messages to the router and carries out the actions it returns."""
+        """Passes all queued messages to the router and carries out the actions it returns.
+
+        Changes of connections go first: which process listens at a host's address may decide what
+        the other messages lead to.
+        """
         messages = self.router_messages
-        while messages:
-            self.carry_out(self.router.take(self.now, messages.popleft()))
+        connections = self.connections
+        while messages or connections.changed_hosts:
+            for change in connections.take_changes():
+                self.carry_out(self.router.take(self.now, change))
+            if messages:
+                self.carry_out(self.router.take(self.now, messages.popleft()))
         self.request_table.release_cancelled()
 
     def carry_out(self, actions: Iterable[Any]) -> None:
--- a/cherrydoor/gateway/host_calls.py
+++ b/cherrydoor/gateway/host_calls.py
@@ -110,8 +110,9 @@
         Each attempt, health check and load order is checked when it is sent and, if it waited for
         a connection, again when that opens. The check keeps new work from a host that is draining,
         or that may be draining while the endpoint list is outdated. It also stops attempts of a
-        request that is finished or whose client has disconnected. It costs one system call for
-        each attempt.
+        request that is finished or whose client has disconnected, and those of a keyed request that
+        were decided for a process which may have been replaced. It costs one system call for each
+        attempt.
         """
         if type(message) not in NEW_WORK_TYPES:
             return ""
@@ -130,10 +131,13 @@
             dispatcher.request_table.cancel(pending)
         if pending.finished:
             return "the event is over"
+        if pending.request.idempotency_key and call.gaps_before != host.gaps:
+            return "the host may have been replaced"
         return "" if dispatcher.now < pending.deadline_ms else "the time is up"
 
     def send(self, host: HostRecord, call: HostCall, message: Any) -> bool:
         """Sends a call on a connection to the host; returns False if it was held back."""
+        call.gaps_before = host.gaps
         if self.end_if_held_back(host, call, message):
             return False
         host.calls_sent += 1
--- a/cherrydoor/gateway/host_connections.py
+++ b/cherrydoor/gateway/host_connections.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING, Any
 
 from cherrydoor.gateway.tables import ConnectionState, HostCall, HostConnection, HostRecord
-from cherrydoor.routing.messages import AttemptOutcome
+from cherrydoor.routing.messages import AttemptOutcome, HostConnectionsChanged
 
 if TYPE_CHECKING:
     from cherrydoor.gateway.dispatcher import Dispatcher
@@ -22,11 +22,13 @@
 
     Attributes:
         all: The connections to all hosts, in the order in which they were dialed.
+        changed_hosts: Hosts whose connections have changed since the router was last notified.
     """
 
     def __init__(self, dispatcher: "Dispatcher") -> None:
         self.dispatcher = dispatcher
         self.all: dict[HostConnection, None] = {}
+        self.changed_hosts: dict[HostRecord, None] = {}
 
     def choose(self, host: HostRecord, call: HostCall) -> HostConnection:
         """Returns the connection for a call: the first one with room, a new one, or a shared one.
@@ -79,6 +81,9 @@
         link.state = ConnectionState.OPEN
         link.writer = writer
         link.last_reply_ms = self.dispatcher.now
+        if link.host.connected_since_ms is None:
+            link.host.connected_since_ms = self.dispatcher.now
+            self.changed_hosts[link.host] = None
         unsent = link.unsent
         link.unsent = []
         calls = self.dispatcher.calls
@@ -102,6 +107,9 @@
             outcome = AttemptOutcome.CONNECT_FAILED
         link.unsent = []
         self.remove(link)
+        if link.host.connected_since_ms is None:
+            link.host.broken_at_ms = self.dispatcher.now
+            self.changed_hosts[link.host] = None
         self.dispatcher.counters[f"connections: {outcome}"] += bool(link.calls_in_flight)
         calls = list(link.calls_in_flight.values())
         if outcome is AttemptOutcome.CONNECTION_LOST and calls:
@@ -165,9 +173,23 @@
 
     def remove(self, link: HostConnection) -> None:
         """Marks a connection as closed and removes it from all tables; no other method does."""
+        host = link.host
         link.state = ConnectionState.CLOSED
-        link.host.connections.remove(link)
+        host.connections.remove(link)
         self.all.pop(link, None)  # a replaced dispatcher's connection is not in this table
+        if not any(other.state is ConnectionState.OPEN for other in host.connections):
+            host.gaps += 1
+            host.connected_since_ms = None
+            self.changed_hosts[host] = None
+
+    def take_changes(self) -> list[HostConnectionsChanged]:
+        """Returns what the router has to know of changed connections, and forgets the changes."""
+        changed = [
+            HostConnectionsChanged(host.id, host.connected_since_ms, host.broken_at_ms)
+            for host in self.changed_hosts
+        ]
+        self.changed_hosts.clear()
+        return changed
 
 
 def count_calls(link: HostConnection) -> int:
--- a/cherrydoor/gateway/tables.py
+++ b/cherrydoor/gateway/tables.py
@@ -170,6 +170,7 @@
         function: Function of a load order.
         called_function: Version that an attempt calls.
         outcome: The outcome; None while the call is in flight.
+        gaps_before: The host's ``gaps`` when the call was decided.
         on_reply: Called as (host id, outcome, message) when a query has ended.
     """
 
@@ -183,6 +184,7 @@
         "function",
         "called_function",
         "outcome",
+        "gaps_before",
         "on_reply",
     )
 
@@ -205,6 +207,7 @@
         self.function = function
         self.called_function = function
         self.outcome: routing.AttemptOutcome | None = None
+        self.gaps_before = 0
         self.on_reply = on_reply
 
 
@@ -250,6 +253,12 @@
         connections: Connections to it that are not closed; written by ``HostConnections``.
         started_at_ms: The later of the start times in the endpoint list and in the host's hello.
         calls_sent: Number of calls sent to it; written by ``HostCalls``.
+        connected_since_ms: Since when at least one connection to it has been open without a gap;
+            None while none is open. Written by ``HostConnections``, like the next two.
+        broken_at_ms: When it last closed or refused a connection and no other one was open; None if
+            it never has.
+        gaps: How often no connection to it was left open; in each gap the process at its address
+            may have been replaced.
     """
 
     def __init__(self, row: protocol.Endpoint) -> None:
@@ -258,3 +267,6 @@
         self.connections: list[HostConnection] = []
         self.started_at_ms = row.started_at_ms
         self.calls_sent = 0
+        self.connected_since_ms: float | None = None
+        self.broken_at_ms: float | None = None
+        self.gaps = 0
--- a/cherrydoor/platform/host_starts.py
+++ b/cherrydoor/platform/host_starts.py
@@ -7,8 +7,7 @@
 
 from typing import NamedTuple
 
-# Longest time from a host's start to its appearance in the endpoint list.
-START_NOTICE_MS = 10000.0
+from cherrydoor.routing.host_identity import START_NOTICE_MS
 
 
 class KnownStart(NamedTuple):
--- a/cherrydoor/platform/router_trace.py
+++ b/cherrydoor/platform/router_trace.py
@@ -58,6 +58,7 @@
             "host": host.id,
             "state": host.state,
             "lease": host.lease.holds(now_ms),
+            "identified": host.identity.is_confirmed(now_ms),
             "out": len(host.in_flight),
             "load": host.load(),
             "busy": host.overloaded,
--- a/cherrydoor/routing/attempt_rules.py
+++ b/cherrydoor/routing/attempt_rules.py
@@ -7,6 +7,7 @@
 
 # A retry is sent only within this share of the dedup window; the rest allows for its transit.
 RETRY_SHARE_OF_DEDUP_WINDOW = 0.8
+GROUP_SCOPES = ("zone", "cell")  # dedup scopes in which only a part of the hosts drops a repeat
 
 
 class AttemptRules:
@@ -53,10 +54,13 @@
             return True
         if request_class.retry_safety != messages.RetrySafety.IDEMPOTENCY_KEY:
             return False
+        now = self._context.now
         scope = request_class.dedup_scope
         if scope == "zone" and host.zone != first.host.zone:
             return False
         if scope == "cell" and host.cell != first.host.cell:
             return False
-        age_ms = self._context.now - first.sent_at_ms
+        if scope in GROUP_SCOPES and not (first.group_known and host.identity.is_confirmed(now)):
+            return False
+        age_ms = now - first.sent_at_ms
         return age_ms < RETRY_SHARE_OF_DEDUP_WINDOW * request_class.dedup_window_ms
--- a/cherrydoor/routing/endpoint_leases.py
+++ b/cherrydoor/routing/endpoint_leases.py
@@ -49,6 +49,8 @@
         lease_ms: Duration of a host's own lease; infinite if no drain grace is configured.
         confirmed_at_ms: When the list was last known to be up to date. None if it has never been
             confirmed; it then always counts as up to date.
+        incomplete_at_ms: From when the list may lack changes that count as reported, unless it is
+            confirmed before then.
         outdated_at_ms: When the list becomes outdated, unless it is confirmed before then.
     """
 
@@ -57,6 +59,7 @@
         "_logged_current",
         "_updates_requested_at_ms",
         "confirmed_at_ms",
+        "incomplete_at_ms",
         "lease_ms",
         "outdated_at_ms",
     )
@@ -68,6 +71,7 @@
             inf if grace_ms is None else max(MIN_LEASE_MS, LEASE_SHARE_OF_DRAIN_GRACE * grace_ms)
         )
         self.confirmed_at_ms: float | None = None
+        self.incomplete_at_ms = inf
         self.outdated_at_ms = inf
         # Time of the first request for updates since the last confirmation; infinite if none.
         self._updates_requested_at_ms = inf
@@ -87,10 +91,14 @@
 
     def _set_outdated(self) -> None:
         if self.confirmed_at_ms is not None:
-            reported_at_ms = min(
+            self.incomplete_at_ms = min(
                 self._updates_requested_at_ms, self.confirmed_at_ms + MIN_DRAIN_NOTICE_MS
             )
-            self.outdated_at_ms = reported_at_ms + self.lease_ms
+            self.outdated_at_ms = self.incomplete_at_ms + self.lease_ms
+
+    def is_complete(self, now: float) -> bool:
+        """Whether the list holds all changes that count as reported."""
+        return now < self.incomplete_at_ms
 
     def is_current(self, now: float) -> bool:
         """Whether the list is up to date, so that hosts hold their leases by it alone."""
--- a/cherrydoor/routing/host.py
+++ b/cherrydoor/routing/host.py
@@ -13,6 +13,7 @@
 from cherrydoor.routing.decay import WINDOW_MS, DecayingValue
 from cherrydoor.routing.endpoint_leases import EndpointListLease, HostLease
 from cherrydoor.routing.host_health import HostHealth
+from cherrydoor.routing.host_identity import HostIdentity
 from cherrydoor.routing.messages import AttemptOutcome, HostState
 from cherrydoor.routing.slow_start import SlowStart
 from cherrydoor.routing.statistics import FADE_RESPONSES, Statistics
@@ -52,6 +53,7 @@
         memory_refused_at_ms: When it last refused to load a copy for lack of memory.
         overloaded: Its load has reached T2 and has not yet fallen below T1.
         lease: Decides whether it may get new work while the endpoint list is outdated.
+        identity: Whether the process at its address is known to be this host.
         check_sent_at_ms: When the health check in flight was sent; None if none is in flight.
     """
 
@@ -67,6 +69,7 @@
         "fullness",
         "health",
         "id",
+        "identity",
         "in_flight",
         "last_attempt_ms",
         "lease",
@@ -96,6 +99,7 @@
         self.state: str | None = None
         self.in_flight: dict[Attempt, float] = {}
         self.lease = HostLease(context, list_lease, self)
+        self.identity = HostIdentity(list_lease)
         self._listed_start_ms = endpoint.started_at_ms
         self._start_incarnation(endpoint.started_at_ms)
 
@@ -129,6 +133,7 @@
         if state == HostState.READY:
             if started_at_ms != self._listed_start_ms:
                 self._start_incarnation(started_at_ms)
+                self.identity.record_listed_start()
             elif started_at_ms != self.slow_start.started_at_ms:
                 self.slow_start = SlowStart(self._context, self._statistics, started_at_ms)
             self._listed_start_ms = started_at_ms
--- a/cherrydoor/routing/messages.py
+++ b/cherrydoor/routing/messages.py
@@ -179,6 +179,25 @@
     at_ms: float
 
 
+class HostConnectionsChanged(NamedTuple):
+    """The open connections to a host have changed.
+
+    If a caller never sends this message, the process at a host's address always counts as the host
+    while the endpoint list is up to date.
+
+    Attributes:
+        host: Id of the host.
+        connected_since_ms: Since when at least one connection has been open without a gap; None
+            while none is open.
+        broken_at_ms: When the host last closed or refused a connection and no other one was open;
+            None if it never has.
+    """
+
+    host: str
+    connected_since_ms: float | None
+    broken_at_ms: float | None
+
+
 class RequestArrived(NamedTuple):
     """A request was accepted.
 
--- a/cherrydoor/routing/request.py
+++ b/cherrydoor/routing/request.py
@@ -62,10 +62,13 @@
         ran_on_loaded_copy: Whether it did not wait for a load. Reported by the host; otherwise
             equal to ``copy_was_loaded``.
         presumed_lost: Whether the host answered requests sent after it but not this attempt.
+        group_known: Whether the process that it was sent to was known to be the listed host, and
+            so of the host's zone and cell.
     """
 
     __slots__ = (
         "copy_was_loaded",
+        "group_known",
         "host",
         "outcome",
         "presumed_lost",
@@ -83,6 +86,7 @@
         self.copy_was_loaded = loaded
         self.ran_on_loaded_copy = loaded
         self.presumed_lost = False
+        self.group_known = host.identity.is_confirmed(now)
 
 
 class Request:
--- a/cherrydoor/routing/router.py
+++ b/cherrydoor/routing/router.py
@@ -95,6 +95,7 @@
             messages.EndpointsUpdated: self._update_endpoints,
             messages.EndpointsConfirmed: self._confirm_endpoints,
             messages.EndpointsRequested: self._request_endpoints,
+            messages.HostConnectionsChanged: self._change_connections,
             messages.RequestArrived: self._accept_request,
             messages.FunctionExpected: self._expect_function,
             messages.StreamStarted: self._start_stream,
@@ -176,6 +177,11 @@
     def _request_endpoints(self, message: messages.EndpointsRequested) -> None:
         self.list_lease.record_update_request(message.at_ms)
 
+    def _change_connections(self, message: messages.HostConnectionsChanged) -> None:
+        host = self.hosts.get(message.host)
+        if host is not None:
+            host.identity.record_connections(message)
+
     def may_get_new_work(self, host_id: str, now: float) -> bool:
         """Whether the host's lease allows new attempts and load orders at this time.
 
