A host is in the zone and cell that its latest entry in the list names

What callers could see: a keyed request applied twice. A host that the list names again under its id, started anew in another zone or cell, kept the zone and cell of its first entry in the router, so repeats went by a wrong cell. On our own protocol a host's id is its address, so any successor at an address is such a host; on the platform an id may come back as well.

Cause: Host read zone and cell only when it was created. Each entry counts now. A request that may have run stays in the zone and cell that its first host had when the attempt was sent, whatever the list says of that host later.

Three new tests of the router, all red before.

--- a/cherrydoor/routing/attempt_rules.py
+++ b/cherrydoor/routing/attempt_rules.py
@@ -56,9 +56,9 @@
             return False
         now = self._context.now
         scope = request_class.dedup_scope
-        if scope == "zone" and host.zone != first.host.zone:
+        if scope == "zone" and host.zone != first.zone:
             return False
-        if scope == "cell" and host.cell != first.host.cell:
+        if scope == "cell" and host.cell != first.cell:
             return False
         if scope in GROUP_SCOPES and not (first.group_known and host.identity.is_confirmed(now)):
             return False
--- a/cherrydoor/routing/host.py
+++ b/cherrydoor/routing/host.py
@@ -124,6 +124,11 @@
         self.last_attempt_ms = context.now - context.next_random() * trial_interval_ms
         self.slow_start = SlowStart(context, self._statistics, started_at_ms)
 
+    def move(self, zone: str, cell: int) -> None:
+        """Apply the zone and cell of the host's entry in the endpoint list."""
+        self.zone = zone
+        self.cell = cell
+
     def update(self, state: str, started_at_ms: float) -> None:
         """Apply the host's entry in the endpoint list.
 
--- a/cherrydoor/routing/request.py
+++ b/cherrydoor/routing/request.py
@@ -62,11 +62,14 @@
         ran_on_loaded_copy: Whether it did not wait for a load. Reported by the host; otherwise
             equal to ``copy_was_loaded``.
         presumed_lost: Whether the host answered requests sent after it but not this attempt.
+        zone: Zone of the host when it was sent.
+        cell: Cell of the host when it was sent.
         group_known: Whether the process that it was sent to was known to be the listed host, and
-            so of the host's zone and cell.
+            so of this zone and cell.
     """
 
     __slots__ = (
+        "cell",
         "copy_was_loaded",
         "group_known",
         "host",
@@ -75,6 +78,7 @@
         "ran_on_loaded_copy",
         "request",
         "sent_at_ms",
+        "zone",
     )
 
     def __init__(self, request: Request, host: Host, now: float) -> None:
@@ -86,6 +90,8 @@
         self.copy_was_loaded = loaded
         self.ran_on_loaded_copy = loaded
         self.presumed_lost = False
+        self.zone = host.zone
+        self.cell = host.cell
         self.group_known = host.identity.is_confirmed(now)
 
 
--- a/cherrydoor/routing/router.py
+++ b/cherrydoor/routing/router.py
@@ -158,6 +158,7 @@
                 cancel_attempt = self.lifecycle.cancel_attempt
                 host = Host(context, self.statistics, endpoint, cancel_attempt, self.list_lease)
                 self.hosts[endpoint.host] = host
+            context.queue(host.move, endpoint.zone, endpoint.cell)
             context.queue(host.update, endpoint.state, endpoint.started_at_ms)
         if message.kind != messages.UpdateKind.INCREMENTAL:
             for host in self.hosts.values():
--- a/tests/routing/test_host_identity.py
+++ b/tests/routing/test_host_identity.py
@@ -159,3 +159,21 @@
     assert not keyed.is_repeated()
     keyed.wait(100)
     assert keyed.is_repeated()
+
+
+@pytest.mark.parametrize("moved", ["home", "other"])
+def test_a_host_that_the_list_names_in_another_cell_is_no_longer_in_its_first_one(moved):
+    keyed = KeyedFleet()
+    host = getattr(keyed, moved)
+    keyed.fleet.update_endpoints(**{host: {"started_at_ms": keyed.fleet.now, "cell": 5}})
+    keyed.wait(LONG_MS)
+    assert not keyed.is_repeated()
+
+
+def test_a_request_stays_in_the_cell_that_its_first_host_had_when_it_was_sent():
+    keyed = KeyedFleet()
+    request_id, _ = keyed.fleet.request(FUNCTION)
+    both = dict.fromkeys("ab", {"started_at_ms": keyed.fleet.now, "cell": 5})
+    keyed.fleet.update_endpoints(**both)
+    keyed.fleet.end_attempt(request_id, AttemptOutcome.CONNECTION_LOST)
+    assert keyed.fleet.sent[request_id] == [keyed.home]
