The owners of ranges are kept by each change, at the same cost in any fleet

A process that starts with those events in its configuration was not ready after 20 s.

Cause: for each event ZoneTable.update sorted all hosts and looked for each in the list of owners, the square of the fleet: 0.2 ms an event at 120 hosts, 33 ms at 1,920, 92 ms at 3,200, with no request at all. All events that have been read are handled before anything else. Upstream counted all hosts for each event as well.

Listed hosts are counted by the address table.

--- a/cherrydoor/platform/address_table.py
+++ b/cherrydoor/platform/address_table.py
@@ -32,6 +32,10 @@
         self._owners: dict[str, str] = {}
         self._displaced: dict[str, Claim] = {}
 
+    def __len__(self) -> int:
+        """Returns the number of hosts that have an address."""
+        return len(self._claims)
+
     def address_of(self, host_id: str) -> str:
         """Returns the host's address:port; "" for a host that is not listed or is displaced."""
         claim = self._claims.get(host_id)
--- a/cherrydoor/platform/upstream.py
+++ b/cherrydoor/platform/upstream.py
@@ -258,9 +258,7 @@
         displaced = self.addresses.update(endpoints, addresses, is_snapshot)
         dispatcher = self.service.dispatcher
         dispatcher.endpoints_updated(kind, self.without_displaced(endpoints, displaced))
-        self.service.configuration.share_descriptors(
-            sum(host.row.state != sse.GONE for host in dispatcher.hosts.values())
-        )
+        self.service.configuration.share_descriptors(len(self.addresses))
 
     def without_displaced(
         self, endpoints: list[protocol.Endpoint], displaced: list[str]
--- a/cherrydoor/routing/router.py
+++ b/cherrydoor/routing/router.py
@@ -160,10 +160,12 @@
                 self.hosts[endpoint.host] = host
             context.queue(host.move, endpoint.zone, endpoint.cell)
             context.queue(host.update, endpoint.state, endpoint.started_at_ms)
+            context.queue(self.zone_table.record_state, host)
         if message.kind != messages.UpdateKind.INCREMENTAL:
             for host in self.hosts.values():
                 if host.id not in listed:
                     context.queue(host.update, HostState.GONE, host.started_at_ms)
+                    context.queue(self.zone_table.record_state, host)
         context.queue(self.zone_table.update, context.now)
 
     def _confirm_endpoints(self, message: messages.EndpointsConfirmed) -> None:
@@ -321,7 +323,7 @@
             if (
                 host.state == HostState.GONE
                 and not host.in_flight
-                and host not in self.zone_table.owners
+                and not self.zone_table.owns_range(host)
             ):
                 del self.hosts[host.id]
         self.context.queue(self.zone_table.update, now)
--- a/cherrydoor/routing/zone_table.py
+++ b/cherrydoor/routing/zone_table.py
@@ -12,6 +12,7 @@
 from cherrydoor.routing.history_table import MIN_SECOND_WORKER_CONCURRENCY, HistoryTable
 from cherrydoor.routing.host import Host
 from cherrydoor.routing.messages import HostState
+from cherrydoor.routing.range_owners import RangeOwners
 from cherrydoor.routing.statistics import Statistics
 
 MAX_SPREAD_TRIES = 3  # times that a position outside the owned part of a range is moved
@@ -19,9 +20,6 @@
 # Mean calls within the idle retention time of a copy, from which on it is presumed to stay loaded.
 # With random arrivals, one retention time in 150 has no call.
 MIN_CALLS_TO_KEEP_COPY = 5
-# Ranges are redistributed after a vacancy of this length, or after a quarter of it if a new host
-# has no range.
-REDISTRIBUTE_AFTER_MS = 60000
 
 
 class ZoneLoad(NamedTuple):
@@ -41,15 +39,7 @@
 
 
 class ZoneTable:
-    """Equal ranges of positions, one for each host; hosts are sorted by id.
-
-    Invariant: a range changes its owner only if a new host fills a vacancy. All ranges are
-    redistributed only if a vacancy lasts long or a host is without a range for long. Few functions
-    therefore move to another host.
-
-    Attributes:
-        owners: The hosts in order of their ranges.
-    """
+    """Equal ranges of positions, one for each host; ``RangeOwners`` decides who owns which."""
 
     def __init__(
         self,
@@ -60,30 +50,25 @@
     ) -> None:
         self._context = context
         self._statistics = statistics
-        self._hosts = hosts
         self._history = history
-        self.owners: list[Host] = []
-        self._complete_at_ms = 0.0  # when last every range had a host and every host a range
+        self._ranges = RangeOwners(hosts)
+
+    @property
+    def owners(self) -> list[Host]:
+        """The hosts in order of their ranges."""
+        return self._ranges.owners
+
+    def owns_range(self, host: Host) -> bool:
+        """Whether a range belongs to the host."""
+        return self._ranges.owns_range(host)
+
+    def record_state(self, host: Host) -> None:
+        """Record that the host's state in the endpoint list may have changed."""
+        self._ranges.record_state(host)
 
     def update(self, now: float) -> None:
         """Give vacant ranges to new hosts; redistribute all if the table is incomplete for long."""
-        listed = sorted(
-            (host for host in self._hosts.values() if host.state != HostState.GONE),
-            key=lambda host: host.id,
-        )
-        new_hosts = [
-            host for host in listed if host not in self.owners and host.state == HostState.READY
-        ]
-        self.owners = [
-            new_hosts.pop(0) if new_hosts and host.state != HostState.READY else host
-            for host in self.owners
-        ]
-        limit_ms = REDISTRIBUTE_AFTER_MS / 4 if new_hosts else REDISTRIBUTE_AFTER_MS
-        if not self.owners or now - self._complete_at_ms > limit_ms:
-            self.owners = listed
-            new_hosts = []
-        if not new_hosts and all(host.state != HostState.GONE for host in self.owners):
-            self._complete_at_ms = now
+        self._ranges.update(now)
 
     def owner(
         self,
