The warm-up budget of a cold host counts work, not requests

Cause: SlowStart earns a budget at the rate of all requests that a warm host answers, and each attempt spent one unit whatever it takes. Where most requests are light, a cold host that is home to heavy functions got those at the rate of light ones.

The unit is now the mean work of a request. ClassWorkTable measures the work of each class by its response times at loaded copies. The least that a gateway earns goes by the mean work as well.

Tried first: logarithmic means and weights below one for light classes, which changed decisions between equal classes by chance. Two recorded histories with six classes and cold hosts have new digests; all others are unchanged.

--- a/cherrydoor/routing/attempt_rules.py
+++ b/cherrydoor/routing/attempt_rules.py
@@ -40,7 +40,7 @@
             return False
         if host.state != messages.HostState.READY or host.lease.is_unobtainable(now):
             return False
-        if not host.slow_start.has_budget(now):
+        if not host.slow_start.has_budget(now, request.request_class):
             return False
         if request.attempts_in_flight() and not settings.may_hedge:
             return False
--- a/cherrydoor/routing/host.py
+++ b/cherrydoor/routing/host.py
@@ -166,7 +166,7 @@
         if (
             self.state != HostState.READY
             or not self.slow_start.may_own(part, now)
-            or not self.slow_start.has_budget(now)
+            or not self.slow_start.has_budget(now, request_class)
         ):
             return False
         if not self._statistics.most_hosts_suspect and self.health.is_suspect(now):
@@ -259,7 +259,7 @@
         self.lease.record_sent(now)
         in_flight = max(1, len(self.in_flight))
         self._usual_in_flight += USUAL_IN_FLIGHT_WEIGHT * (in_flight - self._usual_in_flight)
-        self.slow_start.spend()
+        self.slow_start.spend(attempt.request.request_class)
 
     def record_outcome(self, attempt: Attempt, ended: messages.AttemptEnded, now: float) -> None:
         """Update load, response time, health and lease from an attempt that has ended."""
--- a/cherrydoor/routing/statistics.py
+++ b/cherrydoor/routing/statistics.py
@@ -1,6 +1,7 @@
 """Measurements over the responses of all hosts: response times, rates, load times, losses."""
 
 from cherrydoor.routing import messages
+from cherrydoor.routing.class_work import ClassWorkTable
 from cherrydoor.routing.context import Context
 from cherrydoor.routing.decay import WINDOW_MS, DecayingValue
 from cherrydoor.routing.request import Attempt
@@ -44,12 +45,14 @@
         most_hosts_suspect: More than half of the ready hosts look faulty. It is then more likely
             that this gateway is at fault, so no host is treated as faulty.
         class_losses: Lost attempts by name of the request class.
+        class_work: Work of a request of each class.
     """
 
     __slots__ = (
         "_context",
         "_held_requests_sum",
         "class_losses",
+        "class_work",
         "fast_response_ms",
         "load_ms",
         "most_hosts_suspect",
@@ -72,6 +75,7 @@
         self._held_requests_sum = 0.0
         self.most_hosts_suspect = False
         self.class_losses = {name: ClassLosses() for name in context.settings.request_classes}
+        self.class_work = ClassWorkTable(context.settings.request_classes)
 
     def mean_response_ms(self) -> float:
         """Mean response time of all hosts, in ms.
@@ -84,16 +88,15 @@
         )
 
     def warm_host_rate_per_ms(self) -> float:
-        """Requests per ms that a warm host takes from this gateway.
+        """Requests of mean work per ms that a warm host takes from this gateway.
 
         It is at least this gateway's equal part of one request at a time.
         """
-        measured_rate = self.succeeded.read(self._context.now) / (
-            RATE_PER_COUNT * self.succeeded.half_life_ms
-        )
-        return max(
-            measured_rate, 1 / (self._context.settings.gateway_count * self.mean_response_ms())
-        )
+        now = self._context.now
+        measured_rate = self.succeeded.read(now) / (RATE_PER_COUNT * self.succeeded.half_life_ms)
+        # The mean response time hardly shows a rare class that takes much longer than the others.
+        response_ms = max(self.mean_response_ms(), self.class_work.mean_ms(now))
+        return max(measured_rate, 1 / (self._context.settings.gateway_count * response_ms))
 
     def requests_per_second(self) -> float:
         """Successful responses per second and warm host."""
@@ -114,6 +117,7 @@
         # Divided by the capacity at this time; later changes of the capacity do not matter to it.
         self.succeeded.add(now, 1.0 / max(1.0, self.ready_capacity))
         self._record_time_per_request(attempt, ended, host_count)
+        self._record_class_work(attempt, ended)
         if attempt.ran_on_loaded_copy:
             sample_ms = min(ended.duration_ms, 2 * self.mean_response_ms())
             rest_ms = self._context.settings.shortest_objective_ms / 4
@@ -128,6 +132,14 @@
         if waited_for_load:
             self.load_ms += LOAD_TIME_WEIGHT * (ended.duration_ms - self.load_ms)
 
+    def _record_class_work(self, attempt: Attempt, ended: messages.AttemptEnded) -> None:
+        """Update the work of the request's class; a host in slow start takes longer for it."""
+        now = self._context.now
+        work_ms = None
+        if attempt.ran_on_loaded_copy:
+            work_ms = ended.duration_ms * attempt.host.slow_start.level(now)
+        self.class_work.record_success(attempt.request.request_class.name, work_ms, now)
+
     def _record_time_per_request(
         self, attempt: Attempt, ended: messages.AttemptEnded, host_count: int
     ) -> None:
--- a/tests/behaviour/test_decision_digests.py
+++ b/tests/behaviour/test_decision_digests.py
@@ -111,7 +111,7 @@
 }
 MODULE_DIGESTS = {
     "hosts replaced, lists late and by changes": "0d1ea502aaad748eb31365584984b8520c4faf523d5f96a024bc9d7b160f56d4",
-    "a cold fleet that falls under load": "caf5c64ca000e3567aa76f2e753ebd12016251d62e3f39f8f9cfaa3d4fa8ff2f",
+    "a cold fleet that falls under load": "f1a6c587774e72e9e4cef41ba8f11c19622dc54b308050d13e81a3f621be3242",
     "many gateways, answers tell neither copies nor crowds": "266ec17027866eb7ffd34206d8ba0daa61d370298210d1c6b25499a86ab37d25",
     "overload by tenants of unlike shares": "5955a3fc785faa1207618cfb3fe7c7739459ff9b3dab3430f730a50c3ed596f2",
     "a drained zone, functions foreseen": "c53cb6f34d78d11b9ed44fdef5b211b1225aac183c07c2390f783757d4490aef",
@@ -199,7 +199,7 @@
 }
 DISPATCHER_DIGESTS = {
     "faults of every kind": "54acec1990fb1d58b44e519b52a557c8aee9eaa356fe96b6d9c6b9bd9a59eec9",
-    "asked lists, few open requests, overload": "935ddd74cddf71968b5402bc8f9c6a3d7e571a18f09517922e5ad6ab8d85d6c2",
+    "asked lists, few open requests, overload": "e39dee49886fdc03710ed7d17bb1e428bb270ec54006f68cc6fd8c88f5211853",
 }
 DISPATCHER_COUNTS = {
     "faults of every kind": [
@@ -224,24 +224,24 @@
     ],
     "asked lists, few open requests, overload": [
         1,
-        2,
-        5,
-        11,
-        16,
-        16,
-        20,
+        3,
+        6,
+        17,
+        17,
+        19,
         21,
-        27,
-        31,
+        24,
+        30,
         32,
+        42,
+        50,
         53,
-        78,
-        103,
-        205,
-        679,
-        728,
-        894,
-        1604,
+        100,
+        187,
+        699,
+        769,
+        879,
+        1624,
     ],
 }
 
--- a/tests/routing/test_slow_start_of_fleet.py
+++ b/tests/routing/test_slow_start_of_fleet.py
@@ -6,8 +6,10 @@
 """
 
 import random
+from hashlib import sha1
 from heapq import heappop, heappush
 from math import sqrt
+from typing import NamedTuple
 
 import pytest
 
@@ -23,12 +25,45 @@
 FUNCTIONS = 60
 
 
+class Load(NamedTuple):
+    """The requests of one class.
+
+    Attributes:
+        name: Name of the class.
+        work_ms: Mean time of a request on one core.
+        share: Share of all requests.
+        functions: The functions that are called, the most called ones first.
+    """
+
+    name: str
+    work_ms: float
+    share: float
+    functions: tuple
+
+
+ANY_FUNCTIONS = tuple(f"f{number}" for number in range(1, FUNCTIONS + 1))
+
+
+def functions_at_warming_host(count):
+    """Returns functions whose home is in the part of its range that the host owns at its start."""
+    found, number = [], 0
+    hosts = sorted(HOSTS + WARMING_HOST)
+    while len(found) < count:
+        number += 1
+        name = f"heavy{number}"
+        digest = int.from_bytes(sha1(name.encode()).digest()[:8], "big")
+        position = digest / 2.0**64 * len(hosts)
+        if 0.0 <= position - hosts.index(WARMING_HOST) < 0.2:
+            found.append(name)
+    return tuple(found)
+
+
 class World:
     """The fleet in virtual time.
 
     Attributes:
-        arrivals: For each request that reached the warming host: the time in ms, and whether its
-            gateway had been notified of the start.
+        arrivals: For each request that reached the warming host: the time in ms, whether its
+            gateway had been notified of the start, and its class's work in units of mean work.
         free_ms: Host -> when it has finished all requests that it was sent.
         notified_ms: For each gateway: when it is notified of the start.
 
@@ -37,12 +72,13 @@
         seed: Seed of the random numbers.
         load: Share of the capacity of the whole fleet that requests take.
         surge_ms: Time after the start at which all other hosts begin to drain; 0 for never.
-        work_ms: Mean time of a request on one core.
+        loads: The request classes.
         floor: Share of its capacity that the warming host has at its start.
     """
 
-    def __init__(self, gateways, seed, load, surge_ms, work_ms, floor):
-        self.work_ms = work_ms
+    def __init__(self, gateways, seed, load, surge_ms, loads, floor):
+        self.loads = loads
+        self.work_ms = sum(each.share * each.work_ms for each in loads)
         self.floor = floor
         self.random = random.Random(seed)
         self.queue = []
@@ -56,7 +92,14 @@
             0,
             "z",
             1.0,
-            (routing.RequestClass("draft", 750.0, 2500.0),),
+            tuple(
+                routing.RequestClass(
+                    each.name,
+                    max(750.0, 4 * each.work_ms),
+                    max(2500.0, 10 * each.work_ms),
+                )
+                for each in loads
+            ),
             max_attempts=6,
             may_cancel=True,
             may_probe=True,
@@ -71,6 +114,7 @@
             for i in range(gateways)
         ]
         self.attempts = {}
+        self.load_of = {}
         self.request_count = 0
         endpoints = [
             routing.Endpoint(name, routing.HostState.READY, 0.0, "z", 0)
@@ -106,7 +150,7 @@
                         ),
                     ),
                 )
-        rate = load * (len(HOSTS) + 1) * CORES / work_ms
+        rate = load * (len(HOSTS) + 1) * CORES / self.work_ms
         when = 0.0
         while when < STARTED_MS + SLOW_START_MS:
             when += self.random.expovariate(rate)
@@ -125,12 +169,22 @@
     def request(self, now):
         number = self.random.randrange(len(self.gateways))
         self.request_count += 1
-        function = f"f{min(int(self.random.paretovariate(0.5)), FUNCTIONS)}"
+        load = self.loads[0]
+        if len(self.loads) > 1:
+            [load] = self.random.choices(self.loads, [each.share for each in self.loads])
+        rank = min(int(self.random.paretovariate(0.5)), len(load.functions))
+        self.load_of[self.request_count] = load
         self.message(
             now,
             number,
             routing.RequestArrived(
-                self.request_count, "draft", "", function, now + 2500.0, 4.0, 0.0
+                self.request_count,
+                load.name,
+                "",
+                load.functions[rank - 1],
+                now + max(2500.0, 10 * load.work_ms),
+                4.0,
+                0.0,
             ),
         )
 
@@ -154,9 +208,11 @@
                 index = self.attempts[action.request_id] = (
                     self.attempts.get(action.request_id, -1) + 1
                 )
+                work_ms = self.load_of[action.request_id].work_ms
                 if action.host == WARMING_HOST and now >= STARTED_MS:
-                    self.arrivals.append((now, now >= self.notified_ms[number]))
-                duration_ms = self.serve(now, action.host)
+                    notified = now >= self.notified_ms[number]
+                    self.arrivals.append((now, notified, work_ms / self.work_ms))
+                duration_ms = self.serve(now, action.host, work_ms)
                 self.at(
                     now + duration_ms,
                     self.message,
@@ -173,13 +229,13 @@
                     ),
                 )
 
-    def serve(self, now, host):
+    def serve(self, now, host, work_ms):
         """Returns the response time in ms; each host serves its requests in order of arrival."""
         available_cores = CORES * (self.level(now) if host == WARMING_HOST else 1.0)
         self.free_ms[host] = max(now, self.free_ms[host]) + self.random.expovariate(
-            available_cores / self.work_ms
+            available_cores / work_ms
         )
-        return self.free_ms[host] - now + self.work_ms / CORES
+        return self.free_ms[host] - now + work_ms / CORES
 
     def level(self, now):
         """Returns the share of its capacity that the warming host has at this time."""
@@ -206,14 +262,14 @@
         Only windows count in which most requests come from gateways notified of the start.
         """
         shares = [0.0]
-        for start, _ in self.arrivals:
+        for start, _, _ in self.arrivals:
             within = [
-                notified
-                for when, notified in self.arrivals
+                (notified, units)
+                for when, notified, units in self.arrivals
                 if start <= when < start + OVERLOAD_WINDOW_MS
             ]
-            if sum(within) > len(within) * 2 / 3:
-                shares.append(len(within) / self.allowed(start))
+            if sum(notified for notified, _ in within) > len(within) * 2 / 3:
+                shares.append(sum(units for _, units in within) / self.allowed(start))
         return max(shares)
 
 
@@ -221,7 +277,24 @@
 @pytest.mark.parametrize("gateways", [1, 5, 20, 30, 200])
 def test_all_gateways_together_do_not_overload_a_host_in_slow_start(gateways, surge_ms):
     for work_ms, floor in ((60.0, 0.2), (250.0, 0.17)):
-        world = World(gateways, 1, 0.9, surge_ms, work_ms, floor).run()
+        loads = (Load("draft", work_ms, 1.0, ANY_FUNCTIONS),)
+        world = World(gateways, 1, 0.9, surge_ms, loads, floor).run()
         share = world.largest_share()
         assert share <= 1.0, (work_ms, share)
         assert len(world.arrivals) > 10, "the warming host is used"
+
+
+@pytest.mark.parametrize("heavy_share", [0.02, 0.05])
+@pytest.mark.parametrize("gateways", [5, 20, 60])
+def test_heavy_requests_do_not_overload_a_host_in_slow_start(gateways, heavy_share):
+    # docs/incidents/uneven-classes.md: the budget counted requests, whatever work they take.
+    light_ms, heavy_ms = 10.0, 700.0
+    loads = (
+        Load("light", light_ms, 1.0 - heavy_share, ANY_FUNCTIONS),
+        Load("heavy", heavy_ms, heavy_share, functions_at_warming_host(8)),
+    )
+    for seed in (1, 4):
+        world = World(gateways, seed, 0.4, 0.0, loads, 0.17).run()
+        share = world.largest_share()
+        assert share <= 1.0, (seed, share)
+        assert len(world.arrivals) > 10, "the warming host is used"
