--- a/cherrydoor/routing/router.py
+++ b/cherrydoor/routing/router.py
@@ -1,4 +1,4 @@
-"""The router: handles each message with its components and sweeps all hosts periodically."""
+"""The router: handles each message with its components."""
 
 from collections.abc import Callable
 from typing import Any
@@ -6,7 +6,6 @@
 from cherrydoor.routing import messages
 from cherrydoor.routing.attempt_rules import AttemptRules
 from cherrydoor.routing.context import Action, Context
-from cherrydoor.routing.decay import WINDOW_MS
 from cherrydoor.routing.endpoint_leases import EndpointListLease
 from cherrydoor.routing.history_table import HistoryTable
 from cherrydoor.routing.host import Host
@@ -17,17 +16,13 @@
 from cherrydoor.routing.request_lifecycle import HOLD_TIMER, RequestLifecycle
 from cherrydoor.routing.settings import RoutingSettings
 from cherrydoor.routing.statistics import Statistics
+from cherrydoor.routing.sweep import SWEEP_TIMER, Sweep
 from cherrydoor.routing.zone_table import ZoneTable
 
-SWEEP_MS = 100  # interval of the sweep that checks hosts for silence
-# A sweep with a longer delay shows that this gateway was paused: it then does not take the silence
-# for a failure of the hosts.
-MAX_SWEEP_DELAY_MS = 2 * SWEEP_MS
 POLL_RETRY_MS = 500  # a failed poll is repeated after one to two times this
 QUEUE_FULL_FULLNESS = 0.25  # a host with more fullness was reported full a moment ago
 MAX_UNEVICTABLE_SHARE = 0.9  # of a host's memory; above it there is no memory for a copy
 
-SWEEP_TIMER = "sweep"
 POLL_TIMER = "ask"
 
 
@@ -89,8 +84,15 @@
             for tenant in settings.tenants
         }
         self._other_tenants = TenantUsage()
-        self._next_window_ms = 0.0
-        self._next_sweep_ms = 0.0
+        self._sweep = Sweep(
+            self.context,
+            self.statistics,
+            self.hosts,
+            self.list_lease,
+            self.history,
+            self.load_orders,
+            self.zone_table,
+        )
         self._handlers: dict[type, Callable[[Any], None]] = {
             messages.EndpointsUpdated: self._update_endpoints,
             messages.EndpointsConfirmed: self._confirm_endpoints,
@@ -121,10 +123,7 @@
         """
         context = self.context
         context.begin_message(now)
-        self.history.halved_at_ms = now
-        self._next_window_ms = now + WINDOW_MS
-        self._next_sweep_ms = now + SWEEP_MS * (1 + context.next_random())
-        context.set_timer(self._next_sweep_ms - now, SWEEP_TIMER)
+        self._sweep.start(now)
         if self.settings.polls_endpoints:
             context.actions.append(messages.PollEndpoints())
         return context.actions
@@ -266,7 +265,7 @@
         if message.token == POLL_TIMER:
             self.context.actions.append(messages.PollEndpoints())
         elif message.token == SWEEP_TIMER:
-            self.context.queue(self._sweep)
+            self.context.queue(self._sweep.run)
         elif message.token.startswith(HOLD_TIMER):
             request = self.requests.get(int(message.token.removeprefix(HOLD_TIMER)))
             if request is not None:
@@ -289,41 +288,3 @@
             self.context.queue(
                 self.history.record_outcome, function, host, message.outcome, None, None, None
             )
-
-    # ---- the sweep
-    def _sweep(self) -> None:
-        """Check all hosts for silence and renew leases; update the tables after each window."""
-        context = self.context
-        now = context.now
-        delay_ms = now - self._next_sweep_ms
-        self._next_sweep_ms = now + SWEEP_MS
-        context.set_timer(SWEEP_MS, SWEEP_TIMER)
-        self.load_orders.drop_old_requests()
-        ready = [host for host in self.hosts.values() if host.state == HostState.READY]
-        if delay_ms < MAX_SWEEP_DELAY_MS:
-            for host in ready:
-                if host.in_flight or host.health.consecutive_failures:
-                    context.queue(host.check_silence, now)
-        if self.list_lease.needs_host_leases(now):
-            self.list_lease.log_change(now)
-            for host in ready:
-                context.queue(host.lease.renew_if_in_use, now)
-        suspects = sum(
-            host.health.check_in_flight or host.health.ejected_until_ms > now for host in ready
-        )
-        self.statistics.most_hosts_suspect = 2 * suspects > len(ready)
-        self.statistics.ready_capacity = sum(host.slow_start.level(now) for host in ready)
-        if now >= self._next_window_ms:
-            self._next_window_ms = now + WINDOW_MS
-            self._end_window(now)
-
-    def _end_window(self, now: float) -> None:
-        self.context.queue(self.history.end_window, now)
-        for host in list(self.hosts.values()):
-            if (
-                host.state == HostState.GONE
-                and not host.in_flight
-                and not self.zone_table.owns_range(host)
-            ):
-                del self.hosts[host.id]
-        self.context.queue(self.zone_table.update, now)
--- a/tests/platform/test_replaced_unseen.py
+++ b/tests/platform/test_replaced_unseen.py
@@ -36,29 +36,27 @@
     assert not cells.applied_twice()
 
 
-@with_harness
-async def test_a_keyed_request_is_not_repeated_at_a_successor_that_is_not_listed_yet(harness):
+async def replace_unlisted(harness, resetting):
+    """Replaces "old" by a successor that is not listed, and lets a host reset connections."""
     cells = Cells(harness, {"bad": 1, "old": 1, "new": 2})
     service = await cells.start()
     await send_keyed(harness, "before")
     cells.runs.clear()
     await until(lambda: service.discovery_watch.requested_at_ms is None)
     cells.attach(await replace_host(harness, "old", "new"))
-    cells.resetting.add("bad")
+    cells.resetting.add(resetting)
     await send_keyed(harness, "after")
-    assert cells.ran_first_at("bad") >= 2
+    assert cells.ran_first_at(resetting) >= 2
+    return cells
+
+
+@with_harness
+async def test_a_keyed_request_is_not_repeated_at_a_successor_that_is_not_listed_yet(harness):
+    cells = await replace_unlisted(harness, "bad")
     assert not cells.applied_twice()
 
 
 @with_harness
 async def test_a_keyed_request_that_a_successor_ran_is_not_repeated_in_the_cell_before_it(harness):
-    cells = Cells(harness, {"bad": 1, "old": 1, "new": 2})
-    service = await cells.start()
-    await send_keyed(harness, "before")
-    cells.runs.clear()
-    await until(lambda: service.discovery_watch.requested_at_ms is None)
-    cells.attach(await replace_host(harness, "old", "new"))
-    cells.resetting.add("new")
-    await send_keyed(harness, "after")
-    assert cells.ran_first_at("new") >= 2
+    cells = await replace_unlisted(harness, "new")
     assert not cells.applied_twice()
