--- a/bench/mass/trace.py
+++ b/bench/mass/trace.py
@@ -59,7 +59,7 @@
         now = self._context.now
         known = ["", 0.0, False]
         if host is not None:
-            predicted_ms = min(host.predicted_response_ms(request.function), 1e6)
+            predicted_ms = min(host.load.predicted_response_ms(request.function), 1e6)
             known = [host.id, round(predicted_ms, 1), host.holds_copy(request.function, now)]
         tenant = request.tenant
         choice = [now, *known, tenant.is_overloaded(now), tenant.is_over_quota(now)]
--- a/cherrydoor/routing/host.py
+++ b/cherrydoor/routing/host.py
@@ -10,28 +10,18 @@
 
 from cherrydoor.routing import messages
 from cherrydoor.routing.context import Context
-from cherrydoor.routing.decay import WINDOW_MS, DecayingValue
 from cherrydoor.routing.endpoint_leases import EndpointListLease, HostLease
 from cherrydoor.routing.host_health import HostHealth
 from cherrydoor.routing.host_identity import HostIdentity
+from cherrydoor.routing.host_load import HostLoad
 from cherrydoor.routing.messages import AttemptOutcome, HostState
 from cherrydoor.routing.slow_start import SlowStart
-from cherrydoor.routing.statistics import FADE_RESPONSES, Statistics
+from cherrydoor.routing.statistics import Statistics
 
 if TYPE_CHECKING:
     from cherrydoor.routing.function import Function
     from cherrydoor.routing.request import Attempt
 
-T2_OBJECTIVE_SHARE = 0.5  # at T2, the requests in flight take this share of the latency objective
-T2_MIN_REQUESTS = 3.0
-T1_SHARE_OF_T2 = 0.6
-# Requests of other gateways that are assumed at the host when the own requests in flight are
-# compared with their usual number.
-ASSUMED_OTHER_REQUESTS = 2
-USUAL_IN_FLIGHT_WEIGHT = 0.1  # weight of a new sample in the usual number of own requests
-MIN_RESPONSE_TIME_WEIGHT = 0.1  # of a new sample in the mean response time of the host
-T2_MIN_MEAN_TIMES = 1.5  # by load reports, T2 is at least this many mean response times
-
 RESPONSE_OUTCOMES = (
     AttemptOutcome.SUCCEEDED,
     AttemptOutcome.FULL,
@@ -46,12 +36,10 @@
     Attributes:
         state: State in the endpoint list; None before the host has been read from the list.
         in_flight: Attempts in flight -> when each was sent, in ms; oldest first.
-        response_time: Moving mean of its response times, in ms.
         last_attempt_ms: When an attempt was last sent to it. Initially a random time in the past,
             so that the gateways do not all try the host at the same moment.
-        fullness: Set to 1 by a response that the host is full; decays towards 0.
         memory_refused_at_ms: When it last refused to load a copy for lack of memory.
-        overloaded: Its load has reached T2 and has not yet fallen below T1.
+        load: Requests at it, its response times, and whether it is overloaded.
         lease: Decides whether it may get new work while the endpoint list is outdated.
         identity: Whether the process at its address is known to be this host.
         check_sent_at_ms: When the health check in flight was sent; None if none is in flight.
@@ -63,19 +51,15 @@
         "_context",
         "_listed_start_ms",
         "_statistics",
-        "_usual_in_flight",
         "cell",
         "check_sent_at_ms",
-        "fullness",
         "health",
         "id",
         "identity",
         "in_flight",
         "last_attempt_ms",
         "lease",
-        "others_in_flight",
-        "overloaded",
-        "response_time",
+        "load",
         "memory_refused_at_ms",
         "slow_start",
         "state",
@@ -114,11 +98,7 @@
         self.check_sent_at_ms: float | None = None
         self._check_serves_lease_alone = False
         self.health = HostHealth(context, self._statistics, self, self._cancel_attempt)
-        self.overloaded = False
-        self.response_time = DecayingValue(half_life_ms=2 * WINDOW_MS)
-        self._usual_in_flight = 1.0
-        self.others_in_flight = DecayingValue()  # in flight from other gateways
-        self.fullness = DecayingValue()
+        self.load = HostLoad(context, self._statistics, self)
         self.memory_refused_at_ms = -1e18
         trial_interval_ms = context.settings.gateway_count * self._statistics.mean_response_ms()
         self.last_attempt_ms = context.now - context.next_random() * trial_interval_ms
@@ -187,78 +167,12 @@
         short_for_ms = self._context.now - self.memory_refused_at_ms
         return short_for_ms > self._context.settings.idle_retention_ms
 
-    # ---- its load
-    def load(self) -> float:
-        """Own requests in flight plus those reported of other gateways, which decay."""
-        return len(self.in_flight) + round(self.others_in_flight.read(self._context.now), 1)
-
-    def mean_response_ms(self) -> float:
-        """Its mean response time in ms.
-
-        Without new responses it decays to the mean of all hosts.
-        """
-        return self.response_time.read(self._context.now, self._statistics.mean_response_ms())
-
-    def predicted_response_ms(self, function: Function) -> float:
-        """The predicted response time, in ms, of a request that is sent now.
-
-        The prediction starts from the longest of three times: the mean response time, the longest
-        wait of a request in flight, and a part of the latency objective if the host was full. For
-        requests of other functions, the wait counts from the last response of the host. The result
-        is scaled by the own requests in flight relative to their usual number. A recent load report
-        raises it to at least the time that all requests at the host take.
-        """
-        now = self._context.now
-        fullness = self.fullness.read(now)
-        last_response_ms = self.health.last_response_ms
-        waiting_since_ms = [
-            attempt.sent_at_ms
-            if attempt.request.function is function
-            else max(attempt.sent_at_ms, last_response_ms)
-            for attempt in self.in_flight
-            if attempt.copy_was_loaded and not attempt.presumed_lost
-        ]
-        response_ms = max(
-            self.mean_response_ms(),
-            now - min(waiting_since_ms, default=now),
-            fullness * self._context.settings.shortest_objective_ms,
-        )
-        own_ms = (
-            response_ms
-            * (len(self.in_flight) + 1 + ASSUMED_OTHER_REQUESTS)
-            / (self._usual_in_flight + ASSUMED_OTHER_REQUESTS)
-        )
-        if now - self.others_in_flight.at_ms >= WINDOW_MS:
-            return max(own_ms, 0.0)
-        return max(own_ms, self._statistics.time_per_request_ms * (self.load() + 1))
-
-    def check_overload(self) -> bool:
-        """Update and return ``overloaded``: set at T2, cleared once the load is below T1.
-
-        An overloaded host's requests go to other hosts. A response that the host is full counts as
-        a load of T2, which decays.
-        """
-        objective_ms = self._context.settings.shortest_objective_ms
-        statistics = self._statistics
-        t2 = max(T2_MIN_REQUESTS, T2_OBJECTIVE_SHARE * objective_ms / statistics.fast_response_ms)
-        fleet_mean_ms = statistics.response_time_sum_ms / FADE_RESPONSES
-        by_reports = (
-            self.load()
-            * statistics.time_per_request_ms
-            / max(T2_OBJECTIVE_SHARE * objective_ms, T2_MIN_MEAN_TIMES * fleet_mean_ms)
-        )
-        share = max(len(self.in_flight) / t2, by_reports)
-        share += self.fullness.read(self._context.now)
-        self.overloaded = share >= (T1_SHARE_OF_T2 if self.overloaded else 1.0)
-        return self.overloaded
-
     # ---- events
     def record_sent(self, attempt: Attempt, now: float) -> None:
         """Record that an attempt was sent to it."""
         self.in_flight[attempt] = self.last_attempt_ms = now
         self.lease.record_sent(now)
-        in_flight = max(1, len(self.in_flight))
-        self._usual_in_flight += USUAL_IN_FLIGHT_WEIGHT * (in_flight - self._usual_in_flight)
+        self.load.record_sent()
         self.slow_start.spend(attempt.request.request_class)
 
     def record_outcome(self, attempt: Attempt, ended: messages.AttemptEnded, now: float) -> None:
@@ -269,13 +183,14 @@
         # updated with this attempt.
         exceeded_silence_limit = ended.duration_ms > self.health.silence_limit_ms(attempt)
         if ended.outcome in RESPONSE_OUTCOMES:
-            self._record_load(ended, now)
+            self.health.last_response_ms = now
+            self.load.record_report(ended, now)
         self.health.record_class_outcome(attempt, ended.outcome, now)
-        self._record_response_time(attempt, ended, now)
+        self.load.record_response_time(attempt, ended, now)
         if ended.outcome == AttemptOutcome.SUCCEEDED:
             self.health.record_success()
         elif ended.outcome == AttemptOutcome.FULL and attempt.copy_was_loaded:
-            self.fullness = DecayingValue(now, 1.0)
+            self.load.record_full(now)
         else:
             self._record_failure(attempt, ended, exceeded_silence_limit, now)
 
@@ -313,34 +228,6 @@
         if sent_at_ms is not None:
             self.lease.record_check(outcome, sent_at_ms, now)
 
-    def _record_load(self, ended: messages.AttemptEnded, now: float) -> None:
-        """Update the number of requests of other gateways at the host from a response."""
-        if ended.in_flight is None:
-            held_requests = max(self.others_in_flight.read(now), ended.concurrency or 0)
-        else:
-            held_requests = ended.in_flight
-        self.health.last_response_ms = now
-        self.others_in_flight = DecayingValue(
-            now, max(0.0, held_requests - len(self.in_flight)), 2 * WINDOW_MS
-        )
-
-    def _record_response_time(
-        self, attempt: Attempt, ended: messages.AttemptEnded, now: float
-    ) -> None:
-        """Add a response time to the mean; a long wait without a response counts as one."""
-        if ended.outcome == AttemptOutcome.SUCCEEDED:
-            is_sample = attempt.ran_on_loaded_copy
-        else:
-            is_sample = (
-                ended.outcome in (AttemptOutcome.NO_RESPONSE, AttemptOutcome.CANCELLED)
-                and attempt.copy_was_loaded
-                and not attempt.presumed_lost
-                and ended.duration_ms > self.mean_response_ms()
-            )
-        if is_sample:
-            rest_ms = self._statistics.mean_response_ms()
-            self.response_time.add_sample(now, ended.duration_ms, MIN_RESPONSE_TIME_WEIGHT, rest_ms)
-
     def _record_failure(
         self,
         attempt: Attempt,
--- a/cherrydoor/routing/host_choice.py
+++ b/cherrydoor/routing/host_choice.py
@@ -71,9 +71,9 @@
         max_response_ms = OBJECTIVE_SHARE * request.request_class.latency_objective_ms
 
         def rank(host: Host) -> tuple[bool, float, float, str]:
-            predicted_ms = host.predicted_response_ms(function)
-            late = host.check_overload() or predicted_ms > max_response_ms
-            return late, host.load(), predicted_ms, host.id
+            predicted_ms = host.load.predicted_response_ms(function)
+            late = host.load.check_overload() or predicted_ms > max_response_ms
+            return late, host.load.requests(), predicted_ms, host.id
 
         now = self._context.now
         known = self._known_holders(function)
@@ -83,14 +83,15 @@
             if host.is_ready(now, 0.0, request.request_class) and accepts(host)
         ]
         if holders and (
-            chosen.check_overload() or chosen.predicted_response_ms(function) > max_response_ms
+            chosen.load.check_overload()
+            or chosen.load.predicted_response_ms(function) > max_response_ms
         ):
             chosen = min([chosen, *holders], key=rank)
         # Ranking always runs, because it also updates which holders are overloaded.
         holder = min(holders, key=rank, default=None)
         if (
             holder is not None
-            and not holder.check_overload()
+            and not holder.load.check_overload()
             and chosen not in known
             and (self._context.settings.may_order_loads or chosen in function.pending_loads)
         ):
@@ -142,7 +143,9 @@
         may_use_second = self._history.is_most_called(function) and (
             second.has_memory() or second.holds_copy(function, self._context.now)
         )
-        if may_use_second and (home.check_overload() or second.load() < home.load()):
+        if may_use_second and (
+            home.load.check_overload() or second.load.requests() < home.load.requests()
+        ):
             return second
         return home
 
@@ -162,7 +165,7 @@
         function = request.function
         if (
             now <= self._next_extra_copy_ms
-            or chosen.predicted_response_ms(function) <= max_response_ms
+            or chosen.load.predicted_response_ms(function) <= max_response_ms
             or request.tenant.is_overloaded(now)
         ):
             return chosen
@@ -170,7 +173,7 @@
         extra = self._zone_table.owner(
             function.home_position,
             lambda host: (
-                host.predicted_response_ms(function) < max_response_ms / 2
+                host.load.predicted_response_ms(function) < max_response_ms / 2
                 and host.has_memory()
                 and accepts(host)
             ),
--- a/cherrydoor/routing/host_health.py
+++ b/cherrydoor/routing/host_health.py
@@ -128,7 +128,7 @@
         that is still working. The cost: where all clients wait for less, a dead host is found only
         by its refused connections.
         """
-        limit_ms = max(MIN_SILENCE_MS, SILENCE_FACTOR * self._host.mean_response_ms())
+        limit_ms = max(MIN_SILENCE_MS, SILENCE_FACTOR * self._host.load.mean_response_ms())
         if attempt.copy_was_loaded:
             return limit_ms
         return limit_ms + LOAD_SILENCE_FACTOR * self._statistics.load_ms
@@ -219,7 +219,7 @@
         The attempt must also have waited longer than a limit, without a response of the host to its
         request class meanwhile. The limit is twice as long before the first loss.
         """
-        limit_ms = max(MIN_SILENCE_MS, SILENCE_FACTOR * self._host.mean_response_ms())
+        limit_ms = max(MIN_SILENCE_MS, SILENCE_FACTOR * self._host.load.mean_response_ms())
         if not health.consecutive_losses:
             limit_ms *= 2
         if not attempt.copy_was_loaded:
--- a/cherrydoor/routing/request_lifecycle.py
+++ b/cherrydoor/routing/request_lifecycle.py
@@ -81,7 +81,7 @@
         """Whether the response is predicted in time, or a late host is due for a trial."""
         now = self._context.now
         tenant = request.tenant
-        predicted_ms = host.predicted_response_ms(request.function)
+        predicted_ms = host.load.predicted_response_ms(request.function)
         if tenant.is_over_quota(now) and tenant.is_overloaded(now):
             predicted_ms *= OVER_QUOTA_FACTOR
         objective_ms = OBJECTIVE_SHARE * request.request_class.latency_objective_ms
@@ -89,7 +89,7 @@
             return True
         # About one request at a time from the whole fleet goes to a host that is predicted late,
         # to find out whether it still is.
-        untried_ms = now - max(host.response_time.at_ms, host.last_attempt_ms)
+        untried_ms = now - max(host.load.response_time.at_ms, host.last_attempt_ms)
         trial_interval_ms = self._settings.gateway_count * self._statistics.mean_response_ms()
         return not host.in_flight and untried_ms > trial_interval_ms
 
--- a/cherrydoor/routing/router.py
+++ b/cherrydoor/routing/router.py
@@ -249,7 +249,7 @@
 
     def _is_queue_full(self, host: Host, message: messages.AttemptEnded) -> bool:
         """Whether a response that the host is full means a full queue, not a lack of memory."""
-        if host.fullness.read(self.context.now) > QUEUE_FULL_FULLNESS or message.queued:
+        if host.load.fullness.read(self.context.now) > QUEUE_FULL_FULLNESS or message.queued:
             return True
         if message.concurrency is not None:
             return message.concurrency > 0
--- a/cherrydoor/routing/zone_table.py
+++ b/cherrydoor/routing/zone_table.py
@@ -157,7 +157,7 @@
             ZoneLoad(
                 zone,
                 rate * len(hosts),
-                sum(host.mean_response_ms() for host in hosts) / len(hosts) if hosts else None,
+                sum(host.load.mean_response_ms() for host in hosts) / len(hosts) if hosts else None,
                 len(hosts),
             )
             for zone, hosts in ready.items()
--- a/tests/routing/test_choice_of_host.py
+++ b/tests/routing/test_choice_of_host.py
@@ -39,11 +39,11 @@
         request_id, _ = fleet.request("thumbnail")
         if fleet.sent[request_id][0] == host.id:
             request_ids.append(request_id)
-        overloaded_at = len(host.in_flight) if host.check_overload() else None
+        overloaded_at = len(host.in_flight) if host.load.check_overload() else None
     next_request_id, _ = fleet.request("thumbnail")
     assert overloaded_at == 5 and fleet.sent[next_request_id][0] != host.id
     for request_id in request_ids:
-        assert host.check_overload() == (len(host.in_flight) >= 3)
+        assert host.load.check_overload() == (len(host.in_flight) >= 3)
         fleet.end_attempt(request_id)
 
 
@@ -52,7 +52,7 @@
     home = fleet.serve("thumbnail")
     request_id, _ = fleet.request("thumbnail")
     fleet.end_attempt(request_id, routing.AttemptOutcome.FULL)
-    assert len(set(fleet.sent[request_id])) == 2 and fleet.router.hosts[home].check_overload()
+    assert len(set(fleet.sent[request_id])) == 2 and fleet.router.hosts[home].load.check_overload()
 
 
 def test_host_full_without_a_copy_passes_only_that_function_to_the_next_host():
@@ -62,7 +62,7 @@
     home, next_host = fleet.sent[request_id]
     assert (
         next_host == order[(order.index(home) + 1) % 4]
-        and not fleet.router.hosts[home].check_overload()
+        and not fleet.router.hosts[home].load.check_overload()
     )
     fleet.end_attempt(request_id)
     assert fleet.serve("thumbnail") == next_host
--- a/tests/routing/test_host_health.py
+++ b/tests/routing/test_host_health.py
@@ -50,7 +50,7 @@
     fleet = Fleet()
     home = fleet.serve("rare")
     host = fleet.router.hosts[home]
-    while not host.check_overload():  # loaded by requests of another function
+    while not host.load.check_overload():  # loaded by requests of another function
         fleet.router.context.queue(host.record_sent, StuckAttempt(host, fleet.now), fleet.now)
         fleet.update_endpoints()
     assert fleet.serve("rare") == home
@@ -81,9 +81,9 @@
     host = fleet.router.hosts[home]
     functions = fleet.router.history.functions
     assert (
-        host.predicted_response_ms(functions[evicted])
+        host.load.predicted_response_ms(functions[evicted])
         > 800
-        > host.predicted_response_ms(functions["thumbnail"])
+        > host.load.predicted_response_ms(functions["thumbnail"])
     )
 
 
@@ -140,7 +140,9 @@
         request_id, _ = fleet.request("thumbnail")
         fleet.concurrency = concurrency
         fleet.end_attempt(request_id, routing.AttemptOutcome.FULL)
-        assert fleet.router.hosts[fleet.sent[request_id][0]].check_overload() == (concurrency > 0)
+        assert fleet.router.hosts[fleet.sent[request_id][0]].load.check_overload() == (
+            concurrency > 0
+        )
         assert (not fleet.router.hosts[fleet.sent[request_id][0]].has_memory()) == (
             concurrency == 0
         )
@@ -161,7 +163,7 @@
     fleet = Fleet()
     fleet.concurrency = 1
     home = fleet.router.hosts[fleet.serve("thumbnail")]
-    home.others_in_flight = DecayingValue(fleet.now, 20.0)  # as the home reported
+    home.load.others_in_flight = DecayingValue(fleet.now, 20.0)  # as the home reported
     assert fleet.serve("thumbnail") != home.id
     fleet.now += 20000
     assert fleet.serve("thumbnail") == home.id
@@ -174,10 +176,10 @@
     fleet.end_attempt(
         request_id, routing.AttemptOutcome.NO_RESPONSE, duration_ms=3000.0, delay_ms=3000.0
     )
-    assert home.mean_response_ms() > 1000.0
+    assert home.load.mean_response_ms() > 1000.0
     fleet.now += 30000
     fleet.update_endpoints()
-    assert home.mean_response_ms() < 500.0
+    assert home.load.mean_response_ms() < 500.0
 
 
 def test_full_host_is_predicted_late_for_a_short_time():
--- a/tests/routing/test_sparse_reports.py
+++ b/tests/routing/test_sparse_reports.py
@@ -53,9 +53,9 @@
 def test_load_does_not_look_like_a_slow_host_where_copies_are_not_reported():
     fleet = Fleet()
     home = fleet.router.hosts[serve_sparsely(fleet, "thumbnail", duration_ms=2000.0)]
-    assert home.mean_response_ms() < 200
+    assert home.load.mean_response_ms() < 200
     serve_sparsely(fleet, "thumbnail", duration_ms=400.0)
-    assert home.mean_response_ms() > 125
+    assert home.load.mean_response_ms() > 125
 
 
 def test_reported_in_flight_requests_make_a_host_shed_load():
@@ -63,27 +63,27 @@
     for _ in range(30):
         home = serve_sparsely(fleet, "thumbnail", duration_ms=60.0, in_flight=0.0)
     host = fleet.router.hosts[home]
-    assert not host.check_overload()
+    assert not host.load.check_overload()
     serve_sparsely(fleet, "thumbnail", duration_ms=60.0, in_flight=20.0)
     assert (
-        host.check_overload()
-        and host.predicted_response_ms(fleet.router.history.functions["thumbnail"]) > 375
+        host.load.check_overload()
+        and host.load.predicted_response_ms(fleet.router.history.functions["thumbnail"]) > 375
     )
     fleet.now += 20000
     fleet.update_endpoints()
-    assert not host.check_overload()
+    assert not host.load.check_overload()
 
 
 def test_concurrency_gives_the_time_per_request_where_no_load_is_reported():
     fleet = Fleet(gateway_count=40)
     for _ in range(30):
         home = fleet.router.hosts[fleet.serve("thumbnail")]
-    assert not home.check_overload()
+    assert not home.load.check_overload()
     fleet.concurrency = 16
     fleet.serve("thumbnail")
     assert (
-        home.check_overload()
-        and home.predicted_response_ms(fleet.router.history.functions["thumbnail"]) > 375
+        home.load.check_overload()
+        and home.load.predicted_response_ms(fleet.router.history.functions["thumbnail"]) > 375
     )
     loads = Fleet(gateway_count=40)
     for _ in range(3):
