--- a/tests/platform/keyed_cells.py
+++ b/tests/platform/keyed_cells.py
@@ -16,6 +16,8 @@
         }
     ],
 }
+# The gateway shares the process of all tests, whose descriptors and memory count for its limits.
+LIMITS_OF_TEST_PROCESS = {"cores": 1.0, "memory_mb": 4096, "sockets": 1024}
 FUNCTIONS = [f"{number * 104729 + 1:016x}" for number in range(24)]
 
 
@@ -36,7 +38,9 @@
         await self.harness.prepare(("bad", "old"))
         first = self.update(1, True, bad="in_service", old="in_service")
         service = await self.harness.serve_in_process(
-            settings=KEYED_SETTINGS, known={"no": 1, "items": [first]}
+            settings=KEYED_SETTINGS,
+            known={"no": 1, "items": [first]},
+            limits=LIMITS_OF_TEST_PROCESS,
         )
         for host in self.harness.hosts:
             self.attach(host)
@@ -77,11 +81,12 @@
 
 async def send_keyed(harness, prefix):
     """Sends a request with a key of its own to each function, one after another."""
+    client = await harness.client()
     for number, function in enumerate(FUNCTIONS):
         header = f"X-Dedupe-Key: {prefix}-{number}"
-        await harness.send_request(
-            function=function, request_class="booking", extra_headers=[header]
-        )
+        client.call(function=function, request_class="booking", extra_headers=[header])
+        assert await client.answer() is not None, f"no answer to {prefix}-{number}"
+    client.writer.close()
 
 
 async def replace_host(harness, name, successor):
