A start that is reported late does not confirm a host that broke off since

A host starts anew, ends again and is replaced at its address; the list reports the start only then. That report lifted the suspicion that the second break had raised, and the successor counted as the listed host until it was listed.

Cause: HostIdentity took any new start in the list for proof of the process that listens now. It is proof only if the host has not broken its connections since that start. Found by reading the change once more.

The new test of the router failed before and passes now; the tests with a gateway on sockets and the recorded decisions are unchanged.

--- a/cherrydoor/routing/host.py
+++ b/cherrydoor/routing/host.py
@@ -118,7 +118,7 @@
         if state == HostState.READY:
             if started_at_ms != self._listed_start_ms:
                 self._start_incarnation(started_at_ms)
-                self.identity.record_listed_start()
+                self.identity.record_listed_start(started_at_ms)
             elif started_at_ms != self.slow_start.started_at_ms:
                 self.slow_start = SlowStart(self._context, self._statistics, started_at_ms)
             self._listed_start_ms = started_at_ms
--- a/cherrydoor/routing/host_identity.py
+++ b/cherrydoor/routing/host_identity.py
@@ -46,9 +46,14 @@
         if self._same_since_ms == inf and changed.connected_since_ms is not None:
             self._same_since_ms = changed.connected_since_ms
 
-    def record_listed_start(self) -> None:
-        """Record that the list names the host with a new start: the process is the listed one."""
-        self._same_since_ms = -inf
+    def record_listed_start(self, started_at_ms: float) -> None:
+        """Record that the list names the host with a new start, in ms.
+
+        The process is then the listed host, unless the host has broken its connections since: the
+        list may report a start after the process has already been replaced.
+        """
+        if self._broken_at_ms is None or self._broken_at_ms <= started_at_ms:
+            self._same_since_ms = -inf
 
     def is_confirmed(self, now: float) -> bool:
         """Whether the process at the address is known to be the listed host.
--- a/tests/routing/test_host_identity.py
+++ b/tests/routing/test_host_identity.py
@@ -119,6 +119,17 @@
     assert keyed.is_repeated()
 
 
+def test_a_start_that_is_listed_after_the_host_broke_its_connections_again_confirms_nothing():
+    keyed = KeyedFleet()
+    started_at_ms = keyed.fleet.now
+    keyed.wait(1000)
+    keyed.break_connection(keyed.other)
+    keyed.connect(keyed.other)
+    keyed.wait(1000)
+    keyed.fleet.update_endpoints(**{keyed.other: {"started_at_ms": started_at_ms}})
+    assert not keyed.is_repeated()
+
+
 @pytest.mark.parametrize(
     "events, repeated",
     [
