A first response in no time does not hold the work of its class at zero

Found by reading the change once more.

Cause: a sample counts for at most three times the mean, and three times 0 is 0. The bound now acts only once the mean is above 0.

--- a/cherrydoor/routing/class_work.py
+++ b/cherrydoor/routing/class_work.py
@@ -43,7 +43,7 @@
 
     def add_sample(self, duration_ms: float) -> None:
         """Add the response time of a loaded copy."""
-        max_ms = MAX_SAMPLE_FACTOR * self.mean_ms if self._samples else inf
+        max_ms = MAX_SAMPLE_FACTOR * self.mean_ms or inf
         self._samples += 1
         weight = max(MIN_SAMPLE_WEIGHT, 1 / self._samples)
         self.mean_ms += weight * (min(duration_ms, max_ms) - self.mean_ms)
--- a/tests/routing/test_class_work.py
+++ b/tests/routing/test_class_work.py
@@ -61,6 +61,11 @@
     assert table.units(HEAVY, NOW) > 8.0
 
 
+def test_a_first_response_in_no_time_does_not_hold_the_mean_at_zero():
+    table = measured((LIGHT, 10.0, 90), (HEAVY, 0.0, 1), (HEAVY, 700.0, 9))
+    assert table.units(HEAVY, NOW) > HEAVY_FACTOR
+
+
 def test_work_follows_a_class_that_becomes_heavier():
     table = measured((LIGHT, 10.0, 90), (HEAVY, 20.0, 10), (HEAVY, 700.0, 200))
     assert table._classes["heavy"].mean_ms > 600.0
