Test of slow start: a single class has its objective of 750 ms again

When the test of the fleet learned several classes, the objective of its one class at 250 ms of work became 1,000 ms instead of 750, which eased its check by mistake. Each load states its objective and deadline now; the single class has the values from before, the heavy class the 2,800 and 7,000 ms that it had.

--- a/tests/routing/test_slow_start_of_fleet.py
+++ b/tests/routing/test_slow_start_of_fleet.py
@@ -33,12 +33,16 @@
         work_ms: Mean time of a request on one core.
         share: Share of all requests.
         functions: The functions that are called, the most called ones first.
+        objective_ms: Its latency objective.
+        deadline_ms: How long its clients wait.
     """
 
     name: str
     work_ms: float
     share: float
     functions: tuple
+    objective_ms: float = 750.0
+    deadline_ms: float = 2500.0
 
 
 ANY_FUNCTIONS = tuple(f"f{number}" for number in range(1, FUNCTIONS + 1))
@@ -93,11 +97,7 @@
             "z",
             1.0,
             tuple(
-                routing.RequestClass(
-                    each.name,
-                    max(750.0, 4 * each.work_ms),
-                    max(2500.0, 10 * each.work_ms),
-                )
+                routing.RequestClass(each.name, each.objective_ms, each.deadline_ms)
                 for each in loads
             ),
             max_attempts=6,
@@ -182,7 +182,7 @@
                 load.name,
                 "",
                 load.functions[rank - 1],
-                now + max(2500.0, 10 * load.work_ms),
+                now + load.deadline_ms,
                 4.0,
                 0.0,
             ),
@@ -291,7 +291,7 @@
     light_ms, heavy_ms = 10.0, 700.0
     loads = (
         Load("light", light_ms, 1.0 - heavy_share, ANY_FUNCTIONS),
-        Load("heavy", heavy_ms, heavy_share, functions_at_warming_host(8)),
+        Load("heavy", heavy_ms, heavy_share, functions_at_warming_host(8), 2800.0, 7000.0),
     )
     for seed in (1, 4):
         world = World(gateways, seed, 0.4, 0.0, loads, 0.17).run()
