--- a/cherrydoor/routing/class_work.py
+++ b/cherrydoor/routing/class_work.py
@@ -59,10 +59,11 @@
         request_classes: All request classes by name.
     """
 
-    __slots__ = ("_classes", "_mean_ms", "_read_at_ms", "_request_classes", "_units")
+    __slots__ = ("_classes", "_is_single", "_mean_ms", "_read_at_ms", "_request_classes", "_units")
 
     def __init__(self, request_classes: dict[str, messages.RequestClass]) -> None:
         self._request_classes = request_classes
+        self._is_single = len(request_classes) == 1
         self._classes = {name: ClassWork() for name in request_classes}
         self._units = dict.fromkeys(request_classes, 1.0)
         self._mean_ms = 0.0
@@ -77,6 +78,8 @@
                 nothing of the work, as the request waited for a load.
             now: Time in ms.
         """
+        if self._is_single:
+            return
         work = self._classes[name]
         work.count.add(now, 1.0)
         if work_ms is not None:
@@ -100,7 +103,7 @@
 
     def _read(self, now: float) -> None:
         """Compute the mean work and the units of all classes at this time."""
-        if len(self._classes) == 1 or now == self._read_at_ms:
+        if self._is_single or now == self._read_at_ms:
             return
         self._read_at_ms = now
         mean_ms = self._mean(now, self._work_ms)
