Log and count late responses, delayed ticks and what a closed connection had sent

Change: LoopDelay measures how long inputs wait for their tick ('tick delayed', a counter on both protocols, the longest one in 'usage'); the platform logs and counts responses after the client's time, counts readiness probes, and logs peer, messages and unhandled bytes of a connection that admission closes. 'timer lag ms' is a gauge. The bytes of test requests are a module of their own.

--- a/cherrydoor/gateway/event_loop.py
+++ b/cherrydoor/gateway/event_loop.py
@@ -13,6 +13,7 @@
 from cherrydoor.admission.listener import DESCRIPTOR_ERRNOS
 from cherrydoor.admission.memory_shares import MemoryShares
 from cherrydoor.dialing import connect
+from cherrydoor.gateway.loop_delay import REPORTED_DELAY_MS, LoopDelay
 from cherrydoor.gateway.sockets import after_input
 
 # Delay before a connection that found no free descriptor is tried again; a closed connection frees
@@ -52,6 +53,9 @@
     """Runs a dispatcher in ticks; all callbacks of one event loop iteration share one tick.
 
     A subclass sets `dispatcher` and `listeners`, and implements `restart`.
+
+    Attributes:
+        loop_delay: How long inputs wait for their tick.
     """
 
     dispatcher: Any
@@ -68,6 +72,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at_ms = 0.0
         self.tick_scheduled = False
+        self.loop_delay = LoopDelay()
 
     def post(self, handler: Callable[..., object], *arguments: Any) -> None:
         """Queues a call of a dispatcher method for the next tick."""
@@ -82,18 +87,27 @@
         """
         if not self.tick_scheduled:
             self.tick_scheduled = True
+            self.loop_delay.tick_scheduled(self.clock.now())
             after_input(self.loop, self.tick)
 
     def tick(self) -> None:
         """Runs the dispatcher once; a fault in it restarts the service."""
         self.tick_scheduled = False
+        now_ms = self.clock.now()
+        delay_ms = self.loop_delay.tick_began(now_ms)
+        if delay_ms > REPORTED_DELAY_MS:
+            self.dispatcher.counters["ticks delayed over 50 ms"] += 1
+            self.tick_delayed(delay_ms)
         try:
-            self.dispatcher.tick(self.clock.now())
+            self.dispatcher.tick(now_ms)
         except Exception:
             self.restart()
         self.set_timer()
         self.after_tick()
 
+    def tick_delayed(self, delay_ms: float) -> None:
+        """Called before a tick whose inputs waited too long; does nothing unless overridden."""
+
     def after_tick(self) -> None:
         """Called at the end of each tick; does nothing unless overridden."""
 
--- a/cherrydoor/gateway/metrics.py
+++ b/cherrydoor/gateway/metrics.py
@@ -43,6 +43,7 @@
                 ("hosts", len(dispatcher.hosts)),
                 ("clients", len(dispatcher.clients)),
                 ("timers", len(dispatcher.timers)),
+                ("timer lag ms", dispatcher.timer_lag_ms),
                 *controller.gauges(),
             ):
                 gauges.add_metric([name, what], value)
--- a/cherrydoor/platform/client_connection.py
+++ b/cherrydoor/platform/client_connection.py
@@ -35,6 +35,8 @@
         conversation: The HTTP codec, with the pipelined input that it buffers.
         client: The dispatcher's record of this connection.
         awaiting_id: Id of the request that has no response yet; None if there is none.
+        due_ms: When the client of that request stops waiting, in ms of the service's clock.
+        messages_read: Complete messages that were read from the connection.
         is_admitted: Whether admission gave the connection a slot.
         closing: Whether the connection is no longer read or written.
         close_timers: Timers that end a closing connection; cancelled once it has ended.
@@ -50,6 +52,8 @@
         self.close_timers: list[asyncio.TimerHandle] = []
         self.client = ClientConnection(self, has_closed=self.has_closed)
         self.awaiting_id: int | None = None
+        self.due_ms = 0.0
+        self.messages_read = 0
         self.is_admitted = False
         incoming.connection.open = self.client.pending_requests
 
@@ -76,7 +80,11 @@
             counters = self.listener.service.dispatcher.counters
             counters[f"bad requests: {message.status}"] += 1
             self.respond(message.status, message.reason, close=True)
-        elif message is not None and self.listener.admit(self):
+            return
+        if message is None:
+            return
+        self.messages_read += 1
+        if self.listener.admit(self):
             self.listener.message_received(self, message)
 
     def admitted(self, largest: int) -> None:
@@ -88,6 +96,9 @@
         if type(message) is not protocol.Response:
             return
         self.awaiting_id = None
+        late_ms = self.listener.service.clock.now() - self.due_ms
+        if late_ms > 0:
+            self.log_late(message, late_ms)
         if message.outcome != "handled":
             self.log_refusal(message)
         if message.outcome == "handled":
@@ -97,6 +108,18 @@
         else:
             self.respond(BAD_GATEWAY, message.reason)
 
+    def log_late(self, response: protocol.Response, late_ms: float) -> None:
+        """Counts and logs a response that is written after its client has stopped waiting."""
+        service = self.listener.service
+        service.dispatcher.counters["responses after the client's time"] += 1
+        service.log.write_limited(
+            "response is late",
+            request=f"{response.id:016x}",
+            outcome=response.outcome,
+            late_ms=round(late_ms, 1),
+            reason=response.reason,
+        )
+
     def log_refusal(self, response: protocol.Response) -> None:
         """Logs the id of a request that was refused or failed, and how its attempts ended."""
         self.listener.service.log.write_limited(
@@ -193,6 +216,8 @@
         own response, because a 503 response would promise that the request has had no effect, and
         an attempt may be running. A client that has not read its last response gets no other one.
         """
+        if reason and not self.closing:
+            self.log_closing(reason)
         if self.awaiting_id is not None and not self.closing:
             self.conversation.close_after_response()
             return
@@ -203,6 +228,18 @@
         if not self.closing:
             self.close_when_written()
 
+    def log_closing(self, reason: str) -> None:
+        """Logs which connection admission closes, and what it has sent so far."""
+        peer = self.transport.get_extra_info("peername") or ("", 0)
+        self.listener.service.log.write_limited(
+            "client connection closed",
+            reason=reason,
+            peer=f"{peer[0]}:{peer[1]}",
+            messages=self.messages_read,
+            unhandled_bytes=self.conversation.buffered_bytes,
+            awaiting="" if self.awaiting_id is None else f"{self.awaiting_id:016x}",
+        )
+
     def abort(self) -> None:
         """Closes at once."""
         self.closing = True
--- a/cherrydoor/platform/client_listener.py
+++ b/cherrydoor/platform/client_listener.py
@@ -112,14 +112,16 @@
         self, connection: ClientProtocol, message: invoke.Call | invoke.Ping
     ) -> None:
         """Responds to a readiness probe; posts a request to the dispatcher or refuses it."""
+        counters = self.service.dispatcher.counters
         if isinstance(message, invoke.Ping):
+            counters["readiness probes"] += 1
             if self.service.ready and not self.draining:
                 connection.respond(OK, "")
             else:
                 connection.respond(SERVICE_UNAVAILABLE, "not ready")
             return
         if self.recent_ids.is_full(self.service.clock.now()):
-            self.service.dispatcher.counters["not accepted: too many recent request ids"] += 1
+            counters["not accepted: too many recent request ids"] += 1
             retry_after_ms = self.service.configuration.limits.stay
             connection.respond(SERVICE_UNAVAILABLE, "too many requests", retry_after_ms)
             return
@@ -128,11 +130,12 @@
         if refusal is None and not self.recent_ids.add(int(message.id, 16), now_ms):
             refusal = DUPLICATE_ID
         if refusal is not None:
-            self.service.dispatcher.counters[refusal.counter] += 1
+            counters[refusal.counter] += 1
             connection.respond(refusal.status, refusal.reason, close=True)
             return
         request = request_of(message, now_ms, connection.incoming)
         connection.awaiting_id = request.id
+        connection.due_ms = now_ms + request.timeout_ms
         self.service.post(self.dispatch, connection, request)
 
     def refusal_of(self, call: invoke.Call) -> Refusal | None:
--- a/cherrydoor/platform/process.py
+++ b/cherrydoor/platform/process.py
@@ -195,6 +195,17 @@
         self.post(self.dispatcher.endpoints_updated, "saved", endpoints)
         self.discovery_watch.post_list_age()
 
+    def tick_delayed(self, delay_ms: float) -> None:
+        """Logs a pass of the event loop that took so long that requests may be answered late."""
+        self.log.write_limited(
+            "tick delayed",
+            delay_ms=round(delay_ms),
+            inputs=len(self.dispatcher.inputs),
+            requests=len(self.dispatcher.requests),
+            client_connections=len(self.client_listener.connections),
+            held_for_clients_bytes=self.listeners.controller.all_clients.held_bytes,
+        )
+
     def log_ready(self) -> None:
         """Logs the gateway's state and limits at the start."""
         self.log.write_limited(
@@ -220,6 +231,7 @@
             "usage",
             uptime_s=round((self.clock.now() - self.started_at_ms) / 1000, 1),
             cpu_s=round(process.ru_utime + process.ru_stime, 2),
+            longest_tick_delay_ms=round(self.loop_delay.take_longest(), 1),
             memory_used_mb=round(self.usage.resident_bytes() / 2**20, 1),
             held_for_clients_mb=round(admission.all_clients.held_bytes / 2**20, 2),
             bodies_mb=round(self.dispatcher.request_table.body_bytes / 2**20, 2),
--- a/tests/platform/platform_harness.py
+++ b/tests/platform/platform_harness.py
@@ -15,6 +15,9 @@
 
 import uvloop
 from platform_filter import FILTERED_GATEWAY
+from platform_messages import EXTRAS as EXTRAS
+from platform_messages import FUNCTION as FUNCTION
+from platform_messages import call
 from platform_outside import TEST_TIMEOUT_S as TEST_TIMEOUT_S
 from platform_outside import DiscoveryServer, Host
 from platform_outside import reply as reply
@@ -23,9 +26,6 @@
 from cherrydoor.platform.process import PlatformService
 from cherrydoor.rehearsal.soak.settings import SETTINGS
 
-EXTRAS = "memory_mb:512;lanes:4;load_ms:200"
-FUNCTION = "7f3a9c21e0b4d655"
-
 
 def with_harness(test, run_loop=asyncio.run):
     """Runs an async test with its own harness, and closes the harness afterwards."""
@@ -100,30 +100,6 @@
                 return b""
 
 
-def call(
-    number,
-    function=FUNCTION,
-    request_class="draft",
-    tenant="acme",
-    timeout_ms="2000",
-    extras=EXTRAS,
-    body=b"",
-    extra_headers=(),
-):
-    lines = [
-        f"POST /call/{function}/sync HTTP/1.1",
-        "Host: backend.local",
-        f"X-Class: {request_class}",
-        f"X-Call-Id: {number}",
-        f"X-Patience-Ms: {timeout_ms}",
-        f"X-Customer: {tenant}",
-        f"X-Extras: {extras}",
-        f"Content-Length: {len(body)}",
-        *extra_headers,
-    ]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
-
-
 class PlatformHarness:
     """The hosts, discovery servers and gateway of one test."""
 
