A platform service closes its own descriptors at its end, and so do the tests' hosts

Seen: test_clients_are_served_again_while_resident_memory_stays_at_its_limit timed out in a run of all of tests/platform. Traced by the descriptors after each test: every in-process service left three open (usage measurement), every host and discovery server of a test its accepted sockets; before that test the process had 178 of the 256 that the gateway takes as its limit, so load shedding by descriptors stayed at step 1. New tests had only moved the figure over the threshold. The service closes them now, in production right before the process ends.

--- a/cherrydoor/platform/process.py
+++ b/cherrydoor/platform/process.py
@@ -175,6 +175,7 @@
             host.close()
         self.stop_timer()
         await asyncio.sleep(CLOSE_TIME_S)
+        self.usage.close()
 
     def restart(self) -> None:
         """Replaces the dispatcher after a fault in its tick.
--- a/tests/platform/platform_harness.py
+++ b/tests/platform/platform_harness.py
@@ -273,5 +273,9 @@
         for discovery_server in self.discovery_servers:
             discovery_server.heartbeat.cancel()
             discovery_server.server.close()
+            discovery_server.abort_connections()
         for host in self.hosts:
             host.server.close()
+            for writer in host.writers:
+                writer.transport.abort()
+        await asyncio.sleep(0)  # the transports close their sockets in the next pass
