One continuation handles what waits of a client's messages, however often it is paused

Cause: resume() scheduled handle_rest() beside the call that was already pending, so each pause of admission that met a pending call left one more of them, and each handles eight messages a pass.

--- a/cherrydoor/admission/chunked_reading.py
+++ b/cherrydoor/admission/chunked_reading.py
@@ -5,6 +5,7 @@
 
 from cherrydoor.admission.incoming_connection import IncomingConnection
 from cherrydoor.admission.messages import BufferLimitExceeded
+from cherrydoor.gateway.sockets import after_input
 
 CHUNK_BYTES = 16 * 1024  # read at most from one client in one event loop pass, for fairness
 
@@ -12,17 +13,20 @@
 class ChunkedReading(asyncio.BaseProtocol):
     """Base class of the buffered protocols of client connections.
 
-    A subclass sets `incoming`, `read_buffer` and `transport`, defines data_received(data), and
+    A subclass sets `incoming`, `loop`, `read_buffer` and `transport`, defines data_received(data), and
     calls report_unfinished_bytes() with the size of its unfinished frame. It calls limit_output()
-    in connection_made(), and report_output() after each write.
+    in connection_made(), and report_output() after each write. Where it leaves input unhandled, it
+    calls wait_with_input(), and handle_rest() is called in the next pass of the event loop.
 
     Attributes:
         incoming: The connection's I/O side in admission.
+        loop: The event loop that calls handle_rest().
         read_buffer: The buffer that the event loop reads into. Connections may share it, as the
             data is copied out immediately.
         transport: The transport, from connection_made() on.
         reading_paused: Whether admission has paused reading.
         input_waits: Whether reading waits until the input that was read before is handled.
+        rest_scheduled: Whether a call of handle_rest() is scheduled.
         output_waits: Whether the client has not read all that was written, beyond the limit that
             limit_output() has set.
         input_bytes: Bytes of input that is not handled yet.
@@ -30,10 +34,12 @@
     """
 
     incoming: IncomingConnection
+    loop: Any
     read_buffer: bytearray
     transport: Any
     reading_paused = False
     input_waits = False
+    rest_scheduled = False
     output_waits = False
     input_bytes = 0
     output_bytes = 0
@@ -42,6 +48,10 @@
         """Handles the bytes that were read."""
         raise NotImplementedError
 
+    def handle_rest(self) -> None:
+        """Handles some of the input that waits; calls continue_input() once none is left."""
+        raise NotImplementedError
+
     def get_buffer(self, hint: int) -> memoryview:
         """Returns the buffer that the event loop reads into."""
         return memoryview(self.read_buffer)
@@ -102,16 +112,37 @@
             self._pause_transport(not self.input_waits)
 
     def resume(self) -> None:
-        """Resumes reading, as admission has decided."""
+        """Resumes reading, as admission has decided; input that waits is handled first."""
         if self.reading_paused:
             self.reading_paused = False
             self._resume_transport(not self.input_waits)
+            if self.input_waits:
+                self.schedule_rest()
 
     def wait_with_input(self) -> None:
-        """Stops reading until the input that was read before is handled."""
+        """Stops reading until the input that was read before is handled.
+
+        Otherwise a client that sends faster than its messages are handled makes its input pile up,
+        and each pass of the event loop reads more of it.
+        """
         if not self.input_waits:
             self.input_waits = True
             self._pause_transport(not self.reading_paused)
+        self.schedule_rest()
+
+    def schedule_rest(self) -> None:
+        """Has handle_rest() called after the next tick, once, however often this is called before.
+
+        If each message scheduled a call, the messages handled in a pass would grow without bound.
+        """
+        if not self.rest_scheduled:
+            self.rest_scheduled = True
+            after_input(self.loop, self._run_rest)
+
+    def _run_rest(self) -> None:
+        self.rest_scheduled = False
+        if not self.reading_paused:
+            self.handle_rest()
 
     def continue_input(self) -> None:
         """Resumes reading, as the input that was read before is handled."""
--- a/cherrydoor/gateway/client_listener.py
+++ b/cherrydoor/gateway/client_listener.py
@@ -10,7 +10,7 @@
 from cherrydoor.connection import FramedConnection, OrderedSet
 from cherrydoor.gateway.client_closing import ClientClosing
 from cherrydoor.gateway.dispatcher import ClientConnection
-from cherrydoor.gateway.sockets import after_input, peer_closed
+from cherrydoor.gateway.sockets import peer_closed
 from cherrydoor.protocol import failover as failover_messages
 from cherrydoor.protocol import messages as protocol
 from cherrydoor.tls import messages as credentials
@@ -61,6 +61,7 @@
         )
         self.reader.stop_after_hello = True
         self.incoming = incoming
+        self.loop = service.loop
         self.read_buffer = service.client_listener.read_buffer
         self.client = ClientConnection(self, has_closed=self.has_closed)
         self.credential_facts: PeerCredentials = {}
@@ -102,7 +103,6 @@
         self.report_unfinished_bytes(len(self.reader.buffer) + unhandled_bytes, message_count)
         if not self.input_waits and (self.unhandled or not self.may_handle_more()):
             self.wait_with_input()
-            after_input(self.owner.service.loop, self.handle_rest)
 
     def handle_rest(self) -> None:
         """Handles some more of the messages that were read, and reads on after the last one.
@@ -111,7 +111,7 @@
         part waits for each tick. While admission has paused the connection, they wait for resume().
         They are dropped once the client has closed, even while the end of its input is unread.
         """
-        if self.reading_paused or self.transport.is_closing():
+        if self.transport.is_closing():
             return
         if self.has_closed():
             # Nobody waits for the answers. The end of the input is read next.
@@ -120,16 +120,10 @@
         self.body_bytes_allowed = MAX_BODY_BYTES_PER_TICK
         self.data_received(b"")
         if self.unhandled:
-            after_input(self.owner.service.loop, self.handle_rest)
+            self.schedule_rest()
         else:
             self.continue_input()
 
-    def resume(self) -> None:
-        """Resumes reading, first with the messages that were read before the pause."""
-        super().resume()
-        if self.input_waits:
-            after_input(self.owner.service.loop, self.handle_rest)
-
     def close(self, reason: str = "", retry_after_ms: float = 0.0) -> None:
         """Closes the connection, with the reason if there is one.
 
--- a/tests/gateway/test_message_flood.py
+++ b/tests/gateway/test_message_flood.py
@@ -1,5 +1,7 @@
 """One client that sends small messages at full speed, and the clients beside it."""
 
+import asyncio
+
 import pytest
 from stack import Host, now, with_stack
 
@@ -130,3 +132,25 @@
     assert sum(map(len, posted)) == len(numbers)
     assert max(map(len, posted)) <= MAX_MESSAGES_PER_TICK
     assert max(map(sum, posted)) < MAX_BODY_BYTES_PER_TICK + 9000
+
+
+# Guards against pauses that each leave one more continuation behind, so that ever more messages of
+# the connection are handled in a pass.
+@with_stack
+async def test_a_connection_that_was_paused_often_handles_no_more_messages_in_a_pass(stack):
+    client = await stack.start(Host("handled"))
+    with_idle_core(stack)
+    [connection] = stack.service.client_listener.connections
+    handled = []
+    stack.service.client_listener.message_received = lambda *message: handled.append(message)
+    client.end.transport.write(b"".join(codec.encode(request(1000 + n)) for n in range(FLOOD)))
+    await stack.wait_until(lambda: connection.unhandled)
+    for _ in range(10):
+        connection.pause()
+        connection.resume()
+    most = 0
+    while connection.input_waits:
+        before = len(handled)
+        await asyncio.sleep(0)
+        most = max(most, len(handled) - before)
+    assert 0 < most <= MAX_MESSAGES_PER_TICK
