A client's input on the platform is handled message by message, and not read on meanwhile

Cause: a probe is answered within the read that brings it. Each answer scheduled the next message, and so did each further read, 32 a pass, which was not stopped while input waited: the continuations of one connection added up, to 415-523 in a pass, and each looked through all that was buffered, up to 4.0 MB. Passes of the event loop took up to 0.5 s.

Fix: a connection has one continuation, which handles one message a pass, and nothing more is read until none is left. Behind a request in flight, and where input is dropped, reading goes on by a chunk a pass, as the end of the input shows that the client has left.

--- a/cherrydoor/admission/chunked_reading.py
+++ b/cherrydoor/admission/chunked_reading.py
@@ -13,10 +13,11 @@
 class ChunkedReading(asyncio.BaseProtocol):
     """Base class of the buffered protocols of client connections.
 
-    A subclass sets `incoming`, `loop`, `read_buffer` and `transport`, defines data_received(data), and
-    calls report_unfinished_bytes() with the size of its unfinished frame. It calls limit_output()
-    in connection_made(), and report_output() after each write. Where it leaves input unhandled, it
-    calls wait_with_input(), and handle_rest() is called in the next pass of the event loop.
+    A subclass sets `incoming`, `loop`, `read_buffer` and `transport`, defines data_received(data),
+    and calls report_unfinished_bytes() with the size of its unfinished frame. It calls
+    limit_output() in connection_made(), and report_output() after each write. Where it leaves input
+    unhandled, it calls wait_with_input(), and handle_rest() is called in the next pass of the event
+    loop.
 
     Attributes:
         incoming: The connection's I/O side in admission.
--- a/cherrydoor/platform/client_connection.py
+++ b/cherrydoor/platform/client_connection.py
@@ -45,6 +45,7 @@
     def __init__(self, listener: "ClientListener", incoming: Any) -> None:
         self.listener = listener
         self.incoming = incoming
+        self.loop = listener.service.loop
         self.read_buffer = listener.read_buffer
         self.conversation = invoke.Conversation()
         self.transport: Any = None
@@ -65,11 +66,31 @@
         self.incoming.protocol_made(self)
 
     def data_received(self, data: bytes) -> None:
-        """Parses input, and reports to admission how much incomplete input is buffered."""
+        """Handles one message of the input; what is behind it waits for the next pass.
+
+        The other clients and the replies of hosts would otherwise wait for all that this client has
+        sent at once.
+        """
+        message = None
         if not self.closing:
-            self.parsed(self.conversation.feed(data))
+            message = self.conversation.feed(data)
+            self.parsed(message)
         # Parsing may have closed the connection, which drops what was buffered.
         self.report_unfinished_bytes(self.conversation.buffered_bytes, False)
+        if self.leaves_input(message):
+            self.wait_with_input()
+
+    def leaves_input(self, message: invoke.Call | invoke.Ping | invoke.BadRequest | None) -> bool:
+        """Returns whether more input was read than is handled now, given the message just read.
+
+        The rest of an incomplete message is read on at once. Behind a request in flight, and where
+        input is dropped, reading goes on by one chunk in each pass: the end of the input shows that
+        the client has disconnected.
+        """
+        if self.closing or self.conversation.pipeline_overflowed:
+            return True
+        is_behind = message is not None or self.conversation.open
+        return is_behind and self.conversation.buffered_bytes > 0
 
     def parsed(self, message: invoke.Call | invoke.Ping | invoke.BadRequest | None) -> None:
         """Handles a message of the codec; None means that no message is complete."""
@@ -156,22 +177,27 @@
         elif self.transport.get_write_buffer_size() > WRITE_BUFFER_MAX_BYTES:
             self.abort()
         elif self.conversation.buffered_bytes:
-            self.listener.service.loop.call_soon(self.read_pipelined)
+            self.wait_with_input()
 
-    def read_pipelined(self) -> None:
-        """Reads the input that was pipelined behind the request that now has its response.
+    def handle_rest(self) -> None:
+        """Handles the next message that was read, and reads on where none is left.
 
-        It waits until that response is sent: a client that reads nothing gets no further ones,
-        which would pile up here.
+        Input behind a response waits until that is sent: a client that reads nothing gets no
+        further ones, which would pile up here.
         """
-        if not self.closing and not self.conversation.open and not self.output_waits:
+        if self.transport is None or self.output_waits and not self.closing:
+            return
+        conversation = self.conversation
+        if not self.closing and not conversation.open and conversation.buffered_bytes:
             self.data_received(b"")
+        if not self.rest_scheduled:
+            self.continue_input()
 
     def resume_writing(self) -> None:
-        """Reads the pipelined input that waited for the response to be sent."""
+        """Handles the input that waited for the response to be sent."""
         super().resume_writing()
-        if self.conversation.buffered_bytes:
-            self.read_pipelined()
+        if self.input_waits:
+            self.schedule_rest()
 
     def has_closed(self) -> bool:
         """Whether the client has closed, even if the event loop has not read that yet."""
