Readiness probes of all connections together are answered a few in each pass

A probe costs no tick and no host, so all connections had one handled in every pass.

ReadinessProbes answers eight a pass, in the order in which they were read; as the next message of a connection is read after that answer, the probes that are read are bounded too. The bounds of a tick on both protocols are a decision module of admission now.

Evidence: 30 probes of 30 connections in a pass before (the new test), 8 now.

--- a/cherrydoor/gateway/client_listener.py
+++ b/cherrydoor/gateway/client_listener.py
@@ -7,6 +7,7 @@
 from cherrydoor.admission import messages as admission
 from cherrydoor.admission.chunked_reading import CHUNK_BYTES, ChunkedReading
 from cherrydoor.admission.connections import ADMITTED, CLOSED
+from cherrydoor.admission.work_per_tick import MAX_BODY_BYTES_PER_TICK, MAX_MESSAGES_PER_TICK
 from cherrydoor.connection import FramedConnection, OrderedSet
 from cherrydoor.gateway.client_closing import ClientClosing
 from cherrydoor.gateway.dispatcher import ClientConnection
@@ -26,10 +27,6 @@
 # Output of a connection that is not reported to admission control while it waits to be sent, so
 # that the responses of one event loop tick are sent together.
 UNREPORTED_OUTPUT_BYTES = 16 * 1024
-# Messages of one connection that are handled in one tick, and bytes of bodies among them after
-# which no further message is.
-MAX_MESSAGES_PER_TICK = 8
-MAX_BODY_BYTES_PER_TICK = 16 * 1024
 MESSAGE_BYTES = 512  # of memory, for a message without its body
 IDENTIFICATION_RETRY_AFTER_MS = 1000.0  # for a client whose certificate or token is invalid
 
--- a/cherrydoor/platform/client_connection.py
+++ b/cherrydoor/platform/client_connection.py
@@ -35,6 +35,7 @@
         conversation: The HTTP codec, with the pipelined input that it buffers.
         client: The dispatcher's record of this connection.
         awaiting_id: Id of the request that has no response yet; None if there is none.
+        awaits_probe: Whether its readiness probe has no answer yet.
         due_ms: When the client of that request stops waiting, in ms of the service's clock.
         messages_read: Complete messages that were read from the connection.
         is_admitted: Whether admission gave the connection a slot.
@@ -53,6 +54,7 @@
         self.close_timers: list[asyncio.TimerHandle] = []
         self.client = ClientConnection(self, has_closed=self.has_closed)
         self.awaiting_id: int | None = None
+        self.awaits_probe = False
         self.due_ms = 0.0
         self.messages_read = 0
         self.is_admitted = False
@@ -161,6 +163,7 @@
             retry_after_ms: Delay before a retry, rounded up to whole ms; 0 if none is stated.
             close: Whether the connection closes after it; while draining it always does.
         """
+        self.awaits_probe = False
         if self.closing or self.transport.is_closing():
             return
         data, closes = self.conversation.answer(
@@ -285,11 +288,12 @@
         self.listener.connection_lost(self)
 
     def release(self) -> None:
-        """Drops what the connection held, and its reference cycles.
+        """Drops what the connection held, and its reference cycles, once it has ended.
 
         It is then freed without the garbage collector, which may not run for long, however much
         input was buffered.
         """
+        self.awaits_probe = False
         self.incoming.release()
         self.client.release()
         self.conversation.release()
--- a/cherrydoor/platform/client_listener.py
+++ b/cherrydoor/platform/client_listener.py
@@ -6,11 +6,8 @@
 from cherrydoor.admission.incoming_connection import IncomingConnection
 from cherrydoor.admission.messages import ClientIdentified, ConnectionClosed
 from cherrydoor.codecs import invoke
-from cherrydoor.platform.client_connection import (
-    OK,
-    SERVICE_UNAVAILABLE,
-    ClientProtocol,
-)
+from cherrydoor.platform.client_connection import SERVICE_UNAVAILABLE, ClientProtocol
+from cherrydoor.platform.readiness_probes import ReadinessProbes
 from cherrydoor.platform.recent_request_ids import RecentRequestIds
 from cherrydoor.protocol import messages as protocol
 
@@ -76,6 +73,7 @@
             is closed before it is made never enters.
         draining: Whether each connection closes after its next response.
         read_buffer: Shared by all connections; input is copied out before the next read.
+        readiness_probes: The probes that have no answer yet.
         recent_ids: Request ids that are not accepted again.
     """
 
@@ -84,6 +82,7 @@
         self.connections: dict[ClientProtocol, bool] = {}
         self.draining = False
         self.read_buffer = bytearray(CHUNK_BYTES)
+        self.readiness_probes = ReadinessProbes(service)
         # No attempt of a request is in flight for longer than the longest timeout.
         self.recent_ids = RecentRequestIds(service.configuration.max_timeout_ms)
 
@@ -111,15 +110,11 @@
     def message_received(
         self, connection: ClientProtocol, message: invoke.Call | invoke.Ping
     ) -> None:
-        """Responds to a readiness probe; posts a request to the dispatcher or refuses it."""
-        counters = self.service.dispatcher.counters
+        """Takes a readiness probe; posts a request to the dispatcher or refuses it."""
         if isinstance(message, invoke.Ping):
-            counters["readiness probes"] += 1
-            if self.service.ready and not self.draining:
-                connection.respond(OK, "")
-            else:
-                connection.respond(SERVICE_UNAVAILABLE, "not ready")
+            self.readiness_probes.add(connection)
             return
+        counters = self.service.dispatcher.counters
         if self.recent_ids.is_full(self.service.clock.now()):
             counters["not accepted: too many recent request ids"] += 1
             retry_after_ms = self.service.configuration.limits.stay
--- a/tests/platform/test_client_input.py
+++ b/tests/platform/test_client_input.py
@@ -94,3 +94,29 @@
     client.sock.close()
     await until(lambda: not service.client_listener.connections)
     assert service.listeners.controller.all_clients.held_bytes == 0
+
+
+# Guards against many connections that each send probes at full speed and together fill each pass.
+@with_harness_on_uvloop
+async def test_one_pass_answers_few_probes_of_all_connections_together(harness):
+    service = await harness.start_in_process()
+    clients = [await harness.client() for _ in range(30)]
+    for client in clients:
+        client.send(PROBE * 20)
+    log = PassLog(service)
+    await log.watch(400)
+    assert 0 < log.most_probes <= MAX_MESSAGES_PER_PASS
+    for client in clients:
+        assert [(await client.answer()).status for _ in range(20)] == [200] * 20
+
+
+@with_harness_on_uvloop
+async def test_a_probe_is_answered_behind_those_whose_clients_have_left(harness):
+    await harness.start_in_process()
+    leaving = [await harness.client() for _ in range(25)]
+    staying = await harness.client()
+    for client in [*leaving, staying]:
+        client.send(PROBE)
+    for client in leaving:
+        client.writer.transport.abort()
+    assert (await staying.answer()).status == 200
