The time of an unfinished message counts from the end of the message before it

Callers saw: a client whose input never ran empty for 2 s was closed with 'a frame was not finished in time' though each of its messages was complete, and whatever it had sent behind the last answer was lost.

Cause: the platform's connections reported each read as if no message had been completed (our own protocol reports the number). Evidence: the new test, red before: three messages, one time; three times now.

--- a/cherrydoor/platform/client_connection.py
+++ b/cherrydoor/platform/client_connection.py
@@ -78,7 +78,7 @@
             message = self.conversation.feed(data)
             self.parsed(message)
         # Parsing may have closed the connection, which drops what was buffered.
-        self.report_unfinished_bytes(self.conversation.buffered_bytes, False)
+        self.report_unfinished_bytes(self.conversation.buffered_bytes, message is not None)
         if self.leaves_input(message):
             self.wait_with_input()
 
--- a/tests/platform/test_client_input.py
+++ b/tests/platform/test_client_input.py
@@ -120,3 +120,19 @@
     for client in leaving:
         client.writer.transport.abort()
     assert (await staying.answer()).status == 200
+
+
+# Guards against a client that sends much at once and is closed because "a frame was not finished in
+# time", though each of its messages was: the time of the first one counted for all of them.
+@with_harness_on_uvloop
+async def test_the_time_of_an_unfinished_message_counts_from_the_end_of_the_one_before(harness):
+    service = await harness.start_in_process()
+    client = await harness.client()
+    begun = []
+    for _ in range(3):
+        client.send(PROBE[10:] + PROBE[:10] if begun else PROBE + PROBE[:10])
+        assert (await client.answer()).status == 200
+        await asyncio.sleep(0.02)
+        [connection] = service.client_listener.connections
+        begun.append(connection.incoming.connection.partial)
+    assert 0 < begun[0] < begun[1] < begun[2]
