A host that sends replies without end loses the connection

Cause: all replies of a read are handled, libuv reads a connection up to 32 times in a pass, and replies to nothing in flight were ignored without a bound.

Fix: replies are read 64 at a time, and after 1,000 in a row to nothing in flight since the last command the connection fails, as after a malformed reply; a host may still answer twice, or what was given up.

--- a/cherrydoor/codecs/resp.py
+++ b/cherrydoor/codecs/resp.py
@@ -5,6 +5,7 @@
 
 import re
 from dataclasses import dataclass, field
+from math import inf
 
 MAX_BODY_BYTES = 1 << 20
 MAX_ELEMENT_BYTES = (64, 16, 4096, MAX_BODY_BYTES)  # of id, status, fields and body
@@ -177,14 +178,17 @@
     def __init__(self):
         self.buffer, self.failure_reason = bytearray(), ""
 
-    def feed(self, data):
-        """Returns the replies that are now complete, also those before a malformed one."""
+    def feed(self, data, most=inf):
+        """Returns the replies that are now complete, also those before a malformed one.
+
+        At most this many are returned; the next call returns those behind them.
+        """
         if self.failure_reason:
             return []
         self.buffer += data
         replies, position = [], 0
         try:
-            while True:
+            while len(replies) < most:
                 elements, end = self.read_array(position)
                 if elements is None:
                     break
@@ -195,6 +199,11 @@
         del self.buffer[:position]
         return replies
 
+    def fail(self, reason):
+        """Drops what is buffered; nothing more is read."""
+        self.failure_reason = reason
+        self.buffer.clear()
+
     def read_length(self, position, marker):
         """Returns (length, end) of the length line at a position; (None, position) if it is incomplete.
 
--- a/cherrydoor/platform/upstream.py
+++ b/cherrydoor/platform/upstream.py
@@ -19,6 +19,11 @@
 # for a host that stops in the middle of a reply. The cost is that a host which only stalls for this
 # time loses the connection and its attempts.
 REPLY_REST_TIMEOUT_S = 0.25
+# Replies in a row to nothing in flight on a connection, since the last command on it. A host
+# that resumes after a stall may still answer each attempt that was given up, some of them twice. A
+# host that sends without end would make each pass of the event loop as long as it likes.
+MAX_UNASKED_REPLIES = 1000
+REPLIES_AT_ONCE = 64  # read before the unasked ones are checked
 OUTCOMES: dict[str, Any] = {
     resp.DONE: routing.AttemptOutcome.SUCCEEDED,
     resp.MISSING: routing.AttemptOutcome.FUNCTION_MISSING,
@@ -44,6 +49,7 @@
     Attributes:
         attempts: Numbers of the attempts in flight, by their ids on the wire. An entry is removed
             with the attempt's reply or cancellation.
+        unasked_replies: Replies to nothing in flight, since the last command or expected reply.
     """
 
     def __init__(self, upstream: "Upstream", link: Any) -> None:
@@ -51,6 +57,7 @@
         self.link = link
         self.reader = resp.Reader()
         self.attempts: dict[str, int] = {}
+        self.unasked_replies = 0
         self.rest_timer: asyncio.TimerHandle | None = None
         self.transport: Any = None
 
@@ -94,6 +101,7 @@
     def encode(self, message: Any) -> bytes | None:
         """Returns the command for a message; None for cancelling an attempt that has ended."""
         kind = type(message)
+        self.unasked_replies = 0
         command: bytes
         if kind is protocol.Attempt:
             wire_id = f"{message.request_id:016x}"
@@ -127,8 +135,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Handles complete replies, and starts a timeout for the rest of an incomplete one."""
-        for reply in self.reader.feed(data):
-            self.reply_received(reply)
+        replies = self.reader.feed(data, REPLIES_AT_ONCE)
+        while replies:
+            for reply in replies:
+                self.reply_received(reply)
+            if self.unasked_replies > MAX_UNASKED_REPLIES:
+                self.reader.fail("the host sends replies to nothing in flight")
+            replies = self.reader.feed(b"", REPLIES_AT_ONCE)
         if self.reader.failure_reason:
             self.upstream.fail_connection(self, self.reader.failure_reason)
         elif self.reader.buffer and self.rest_timer is None:
@@ -160,6 +173,7 @@
     def reply_received(self, reply: resp.Reply) -> None:
         """Posts a reply to the dispatcher; replies with an unknown id are ignored."""
         wire_id = reply.id
+        self.unasked_replies += 1
         self.upstream.count_traffic(self.link.host.id, reply.status)
         if wire_id in self.attempts:
             self.attempt_replied(reply)
@@ -175,6 +189,7 @@
 
     def attempt_replied(self, reply: resp.Reply) -> None:
         """Posts an attempt's result."""
+        self.unasked_replies = 0
         if reply.status not in OUTCOMES:
             self.upstream.fail_connection(self, "an attempt got the status of a health check")
             return
