A host's messages on our own protocol are handled a few in each tick

Reading waits meanwhile, so that nothing piles up, and what was read before the connection ends is still handled. No caller has reported it.

--- a/cherrydoor/gateway/upstream.py
+++ b/cherrydoor/gateway/upstream.py
@@ -1,12 +1,15 @@
 """Connections of one gateway to hosts."""
 
 import asyncio
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 import structlog
 
+from cherrydoor.admission.work_per_tick import MAX_HOST_MESSAGES_PER_TICK
 from cherrydoor.connection import FramedConnection
 from cherrydoor.gateway.event_loop import dial
+from cherrydoor.gateway.sockets import after_input
 from cherrydoor.protocol import codec
 from cherrydoor.protocol import failover as failover_messages
 from cherrydoor.protocol import messages as protocol
@@ -23,8 +26,11 @@
     Attributes:
         link: The dispatcher's record of this connection.
         incarnation: The gateway's incarnation that opened it; 0 without peers.
+        input_waits: Whether reading waits until the messages that were read before are handled.
     """
 
+    messages_allowed: float = MAX_HOST_MESSAGES_PER_TICK
+
     def __init__(self, service: "GatewayService", link: Any) -> None:
         """Prepares a connection with the service's current limits."""
         super().__init__(
@@ -36,6 +42,7 @@
         )
         self.link = link
         self.incarnation = service.incarnation
+        self.input_waits = False
 
     def connection_made(self, transport: Any) -> None:
         """Notifies the dispatcher, which then sends the messages queued for this connection."""
@@ -47,6 +54,33 @@
         if not self.abandoned:
             self.owner.service.dispatcher.connection_opened(self.link, self)
 
+    def data_received(self, data: bytes) -> None:
+        """Handles some messages in each tick; nothing more is read while others wait."""
+        self.process_data(data)
+        if not self.input_waits and not self.may_handle_more() and not self.transport.is_closing():
+            self.input_waits = True
+            self.transport.pause_reading()
+            after_input(self.owner.service.loop, self.handle_rest)
+
+    def handle_rest(self) -> None:
+        """Handles some more of the messages that were read, and reads on after the last one."""
+        if self.transport.is_closing():
+            return
+        self.messages_allowed = MAX_HOST_MESSAGES_PER_TICK
+        self.process_data(b"")
+        if self.unhandled:
+            after_input(self.owner.service.loop, self.handle_rest)
+        elif not self.transport.is_closing():
+            self.input_waits = False
+            self.transport.resume_reading()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Handles the messages that were read before the connection ended, then its end."""
+        if self.unhandled:
+            self.messages_allowed = inf
+            self.process_data(b"")
+        super().connection_lost(error)
+
     def write(self, message: Any) -> None:
         """Sends a message; one too large for the host is handled as if the host had rejected it."""
         try:
