Replies to load orders and health checks are asked for, however many; probes never stall

Replies to load orders counted as unasked, so a host that answers over 1,000 of them in a row would have lost its connection: the new test, red before. A fault while a probe is answered would have left those behind it without a pass of their own: the next pass is scheduled first.

--- a/cherrydoor/platform/readiness_probes.py
+++ b/cherrydoor/platform/readiness_probes.py
@@ -21,27 +21,35 @@
 
     Attributes:
         waiting: Connections whose probe has no answer yet; at most all client connections.
+        scheduled: Whether a call of answer_some() is scheduled.
     """
 
     def __init__(self, service: Any) -> None:
         self.service = service
         self.waiting: deque[ClientProtocol] = deque()
+        self.scheduled = False
 
     def add(self, connection: "ClientProtocol") -> None:
         """Takes a probe, which is answered in one of the next passes."""
         connection.awaits_probe = True
         self.waiting.append(connection)
-        if len(self.waiting) == 1:
+        self.schedule()
+
+    def schedule(self) -> None:
+        """Has answer_some() called after the next tick, once."""
+        if not self.scheduled:
+            self.scheduled = True
             after_input(self.service.loop, self.answer_some)
 
     def answer_some(self) -> None:
         """Answers the probes that have waited longest; the others wait for the next pass."""
+        self.scheduled = False
+        if len(self.waiting) > MAX_PROBES_PER_TICK:
+            self.schedule()
         for _ in range(min(len(self.waiting), MAX_PROBES_PER_TICK)):
             connection = self.waiting.popleft()
             if connection.awaits_probe:
                 self.answer(connection)
-        if self.waiting:
-            after_input(self.service.loop, self.answer_some)
 
     def answer(self, connection: "ClientProtocol") -> None:
         """Answers one probe by the state that the gateway has now."""
--- a/cherrydoor/platform/upstream.py
+++ b/cherrydoor/platform/upstream.py
@@ -49,6 +49,7 @@
     Attributes:
         attempts: Numbers of the attempts in flight, by their ids on the wire. An entry is removed
             with the attempt's reply or cancellation.
+        checks_in_flight: Health checks and load orders that were sent and have no reply yet.
         unasked_replies: Replies to nothing in flight, since the last command or expected reply.
     """
 
@@ -57,6 +58,7 @@
         self.link = link
         self.reader = resp.Reader()
         self.attempts: dict[str, int] = {}
+        self.checks_in_flight = 0
         self.unasked_replies = 0
         self.rest_timer: asyncio.TimerHandle | None = None
         self.transport: Any = None
@@ -122,6 +124,8 @@
                     command = resp.drop(wire_id)
                     return command
             return None
+        if kind in (protocol.HealthCheck, protocol.LoadOrder):
+            self.checks_in_flight += 1
         if kind is protocol.HealthCheck:
             command = resp.health(f"{HEALTH_TAG}{message.id}")
             return command
@@ -179,6 +183,9 @@
             self.attempt_replied(reply)
         elif wire_id[:1] in "po" and wire_id[1:].isdigit() and len(wire_id) < 16:
             number = int(wire_id[1:])
+            if self.checks_in_flight:
+                self.checks_in_flight -= 1
+                self.unasked_replies = 0
             if wire_id[0] == HEALTH_TAG and reply.status in HEALTH_OUTCOMES:
                 outcome = HEALTH_OUTCOMES[reply.status]
                 inflight = reply.load_report.get("inflight")
--- a/tests/platform/test_unasked_replies.py
+++ b/tests/platform/test_unasked_replies.py
@@ -3,9 +3,10 @@
 import asyncio
 
 from blocking_client import executed, until
-from platform_harness import reply, with_harness_on_uvloop
+from platform_harness import FUNCTION, reply, with_harness_on_uvloop
 
 from cherrydoor.platform.upstream import MAX_UNASKED_REPLIES, REPLIES_AT_ONCE
+from cherrydoor.protocol import messages as protocol
 
 UNKNOWN_ID = reply(b"00000000dead0000", b"DONE", b"-")
 UNKNOWN_HEALTH_CHECK = reply(b"p999999999", b"FIT")
@@ -76,3 +77,21 @@
     answers = await asyncio.gather(*requests)
     assert all(answer.status == 200 for answer in answers)
     assert sorted(answer.body for answer in answers) == sorted(b"body of " + n for n in numbers)
+
+
+# Guards against a connection that is closed as its host answers many load orders at once.
+@with_harness_on_uvloop
+async def test_replies_to_load_orders_are_asked_for_however_many_they_are(harness):
+    service = await harness.start_in_process()
+    host = harness.hosts[0]
+    assert (await harness.send_request()).status == 200
+    [connection] = service.upstream.connections
+    count = MAX_UNASKED_REPLIES + 2 * REPLIES_AT_ONCE
+    for number in range(count):
+        connection.encode(protocol.LoadOrder(900_000_000 + number, FUNCTION, 1))
+    host.writers[0].write(
+        b"".join(reply(b"o%d" % (900_000_000 + n), b"DONE", b"copies=1") for n in range(count))
+    )
+    counters = service.dispatcher.counters
+    await until(lambda: counters["replies without a call in flight"] >= count)
+    assert counters["host connections failed"] == 0
