--- a/cherrydoor/platform/client_connection.py
+++ b/cherrydoor/platform/client_connection.py
@@ -7,6 +7,7 @@
 from cherrydoor.codecs import invoke
 from cherrydoor.gateway.dispatcher import ClientConnection
 from cherrydoor.gateway.sockets import has_unread_input, peer_closed
+from cherrydoor.platform import client_log
 from cherrydoor.protocol import messages as protocol
 
 if TYPE_CHECKING:
@@ -121,9 +122,9 @@
         self.awaiting_id = None
         late_ms = self.listener.service.clock.now() - self.due_ms
         if late_ms > 0:
-            self.log_late(message, late_ms)
+            client_log.late_response(self.listener.service, message, late_ms)
         if message.outcome != "handled":
-            self.log_refusal(message)
+            client_log.refusal(self.listener.service, message)
         if message.outcome == "handled":
             self.respond(OK, message.body)
         elif message.outcome == "deferred":
@@ -131,27 +132,6 @@
         else:
             self.respond(BAD_GATEWAY, message.reason)
 
-    def log_late(self, response: protocol.Response, late_ms: float) -> None:
-        """Counts and logs a response that is written after its client has stopped waiting."""
-        service = self.listener.service
-        service.dispatcher.counters["responses after the client's time"] += 1
-        service.log.write_limited(
-            "response is late",
-            request=f"{response.id:016x}",
-            outcome=response.outcome,
-            late_ms=round(late_ms, 1),
-            reason=response.reason,
-        )
-
-    def log_refusal(self, response: protocol.Response) -> None:
-        """Logs the id of a request that was refused or failed, and how its attempts ended."""
-        self.listener.service.log.write_limited(
-            "request refused" if response.outcome == "deferred" else "request failed",
-            request=f"{response.id:016x}",
-            reason=response.reason,
-            retry_after_ms=round(response.retry_after_ms),
-        )
-
     def respond(
         self, status: int, body: bytes | str, retry_after_ms: float = 0.0, close: bool = False
     ) -> None:
@@ -246,7 +226,7 @@
         an attempt may be running. A client that has not read its last response gets no other one.
         """
         if reason and not self.closing:
-            self.log_closing(reason)
+            client_log.closing(self, reason)
         if self.awaiting_id is not None and not self.closing:
             self.conversation.close_after_response()
             return
@@ -257,18 +237,6 @@
         if not self.closing:
             self.close_when_written()
 
-    def log_closing(self, reason: str) -> None:
-        """Logs which connection admission closes, and what it has sent so far."""
-        peer = self.transport.get_extra_info("peername") or ("", 0)
-        self.listener.service.log.write_limited(
-            "client connection closed",
-            reason=reason,
-            peer=f"{peer[0]}:{peer[1]}",
-            messages=self.messages_read,
-            unhandled_bytes=self.conversation.buffered_bytes,
-            awaiting="" if self.awaiting_id is None else f"{self.awaiting_id:016x}",
-        )
-
     def abort(self) -> None:
         """Closes at once."""
         self.closing = True
--- a/tests/platform/test_dialing.py
+++ b/tests/platform/test_dialing.py
@@ -5,7 +5,7 @@
 
 from platform_harness import with_harness_on_uvloop
 
-from cherrydoor.platform.upstream import HostProtocol
+from cherrydoor.platform.host_connection import HostProtocol
 
 STALL_S = 0.3  # longer than the connect timeout of 250 ms
 
