--- a/cherrydoor/admission/work_per_tick.py
+++ b/cherrydoor/admission/work_per_tick.py
@@ -13,3 +13,8 @@
 MAX_HOST_MESSAGES_PER_TICK = 64
 # Readiness probes answered in a tick, over all connections; requests go before them.
 MAX_PROBES_PER_TICK = 8
+# On the platform: replies in a row to nothing in flight on a connection to a host, since the last
+# command on it, after which the connection fails. After a stall a host may still answer what was
+# given up, some of it twice.
+MAX_UNASKED_REPLIES = 1000
+REPLIES_AT_ONCE = 64  # read before the unasked ones are checked
--- a/cherrydoor/platform/host_connection.py
+++ b/cherrydoor/platform/host_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+from cherrydoor.admission.work_per_tick import MAX_UNASKED_REPLIES, REPLIES_AT_ONCE
 from cherrydoor.codecs import resp
 from cherrydoor.dialing import DialedProtocol
 from cherrydoor.gateway.sockets import after_input, peer_closed
@@ -17,11 +18,6 @@
 # for a host that stops in the middle of a reply. The cost is that a host which only stalls for this
 # time loses the connection and its attempts.
 REPLY_REST_TIMEOUT_S = 0.25
-# Replies in a row to nothing in flight on a connection, since the last command on it. A host
-# that resumes after a stall may still answer each attempt that was given up, some of them twice. A
-# host that sends without end would make each pass of the event loop as long as it likes.
-MAX_UNASKED_REPLIES = 1000
-REPLIES_AT_ONCE = 64  # read before the unasked ones are checked
 OUTCOMES: dict[str, Any] = {
     resp.DONE: routing.AttemptOutcome.SUCCEEDED,
     resp.MISSING: routing.AttemptOutcome.FUNCTION_MISSING,
--- a/tests/platform/test_unasked_replies.py
+++ b/tests/platform/test_unasked_replies.py
@@ -5,7 +5,7 @@
 from blocking_client import executed, until
 from platform_harness import FUNCTION, reply, with_harness_on_uvloop
 
-from cherrydoor.platform.host_connection import MAX_UNASKED_REPLIES, REPLIES_AT_ONCE
+from cherrydoor.admission.work_per_tick import MAX_UNASKED_REPLIES, REPLIES_AT_ONCE
 from cherrydoor.protocol import messages as protocol
 
 UNKNOWN_ID = reply(b"00000000dead0000", b"DONE", b"-")
